--- a/src/main/java/org/dewreach/controller/Dispatcher.java
+++ b/src/main/java/org/dewreach/controller/Dispatcher.java
@@ -1,6 +1,7 @@
 package org.dewreach.controller;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -14,6 +15,7 @@
 import org.dewreach.task.Task;
 import org.dewreach.task.TaskPhase;
 import org.dewreach.wire.JobRequest;
+import org.dewreach.wire.Shape;
 
 /** Walks the queue and places what fits. A job that does not fit does not stop those behind it. */
 final class Dispatcher {
@@ -94,7 +96,7 @@
   /** Jobs with the same likeness fit on the same machines. */
   private static String likeness(Job job) {
     JobRequest spec = job.spec();
-    if (spec.together() || spec.scatter() || !job.suspects().isEmpty()) {
+    if (spec.together() || spec.scatter() || spec.shape() == Shape.GANG || !job.suspects().isEmpty()) {
       return job.id();
     }
     return spec.cpus() + "|" + spec.gpus() + "|" + spec.memoryGb() + "|" + spec.types() + "|"
@@ -103,27 +105,65 @@
 
   private int place(Job job, int room, long nowMicros) {
     JobRequest spec = job.spec();
-    if (spec.together() && spec.tasks() > 1) {
-      return placeTogether(job, room, nowMicros);
+    int wanted = job.pending();
+    // Stopping short of a whole gang would only make the others wait; the same holds for a service
+    // whose replicas need each other's zone.
+    boolean whole =
+        spec.shape() == Shape.GANG
+            || spec.together() && spec.shape() == Shape.SERVICE && job.bound().isEmpty();
+    if (whole && room < wanted) {
+      return 0;
+    }
+    for (String zone : zones(job)) {
+      List<Task> placed = fit(job, Math.min(room, wanted), zone, nowMicros);
+      if (placed.size() == wanted || !whole && !placed.isEmpty()) {
+        return placed.size();
+      }
+      // No start was sent for any of these: they are taken back in the record.
+      placed.forEach(task -> books.unbind(task, "does not fit whole", nowMicros));
+    }
+    return 0;
+  }
+
+  /**
+   * The zones to try one after the other; null stands for all of them together. A job whose tasks
+   * must share a zone stays where its bound tasks are, or takes the zones in the order of the list.
+   */
+  private List<String> zones(Job job) {
+    if (!job.spec().together() || job.spec().tasks() == 1) {
+      return Collections.singletonList(null);
+    }
+    if (!job.bound().isEmpty()) {
+      return List.of(job.bound().values().iterator().next().machine().zone());
+    }
+    List<String> zones = new ArrayList<>();
+    for (Machine machine : books.list().machines()) {
+      if (!zones.contains(machine.zone())) {
+        zones.add(machine.zone());
+      }
     }
+    return zones;
+  }
+
+  private List<Task> fit(Job job, int count, String zone, long nowMicros) {
+    JobRequest spec = job.spec();
     int most = spec.scatter() ? (spec.tasks() + 1) / 2 : Integer.MAX_VALUE;
-    int placed = 0;
-    while (placed < room) {
+    Predicate<Machine> allowed = allowed(job, nowMicros);
+    if (zone != null) {
+      allowed = allowed.and(machine -> machine.zone().equals(zone));
+    }
+    if (spec.scatter()) {
+      allowed = allowed.and(machine -> inZone(job, machine.zone()) < most);
+    }
+    List<Task> placed = new ArrayList<>();
+    while (placed.size() < count) {
       int index = job.nextPending();
-      Machine machine =
-          index < 0
-              ? null
-              : books
-                  .list()
-                  .firstFit(
-                      spec,
-                      allowed(job, nowMicros)
-                          .and(m -> most == Integer.MAX_VALUE || inZone(job, m.zone()) < most));
+      Machine machine = index < 0 ? null : books.list().firstFit(spec, allowed);
       if (machine == null) {
         break;
       }
-      books.bind(job, index, books.nextAttempt(), machine, TaskPhase.ASSIGNED, nowMicros);
-      placed++;
+      placed.add(
+          books.bind(job, index, books.nextAttempt(), machine, TaskPhase.ASSIGNED, nowMicros));
     }
     return placed;
   }
@@ -144,51 +184,4 @@
     }
     return count;
   }
-
-  /**
-   * A job whose tasks must share a zone. The zone is where its bound tasks are; else the first, in
-   * the order of the list, in which all of it fits. A service is placed whole or not at all.
-   */
-  private int placeTogether(Job job, int room, long nowMicros) {
-    List<String> zones = new ArrayList<>();
-    if (!job.bound().isEmpty()) {
-      zones.add(job.bound().values().iterator().next().machine().zone());
-    } else {
-      for (Machine machine : books.list().machines()) {
-        if (!zones.contains(machine.zone())) {
-          zones.add(machine.zone());
-        }
-      }
-    }
-    boolean whole =
-        job.bound().isEmpty() && job.spec().shape() == org.dewreach.wire.Shape.SERVICE;
-    int wanted = job.pending();
-    if (whole && room < wanted) {
-      return 0;
-    }
-    List<Task> best = List.of();
-    for (String zone : zones) {
-      List<Task> placed = new ArrayList<>();
-      while (placed.size() < Math.min(room, wanted)) {
-        int index = job.nextPending();
-        Machine machine =
-            books
-                .list()
-                .firstFit(
-                    job.spec(), allowed(job, nowMicros).and(m -> m.zone().equals(zone)));
-        if (index < 0 || machine == null) {
-          break;
-        }
-        placed.add(
-            books.bind(job, index, books.nextAttempt(), machine, TaskPhase.ASSIGNED, nowMicros));
-      }
-      if (placed.size() == wanted || !whole && !placed.isEmpty()) {
-        best = placed;
-        break;
-      }
-      // No start was sent for any of these: they are taken back in the record.
-      placed.forEach(task -> books.unbind(task, "does not fit whole", nowMicros));
-    }
-    return best.size();
-  }
 }
--- a/src/main/java/org/dewreach/fleet/FleetPlanner.java
+++ b/src/main/java/org/dewreach/fleet/FleetPlanner.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import org.dewreach.job.Admission;
@@ -109,7 +110,15 @@
             .reversed());
     Map<Kind, Integer> wanted = new HashMap<>();
     List<Kind> order = new ArrayList<>();
+    // Needs of the same size are one: many small jobs fill a large machine as well as a large one.
+    Map<String, Need> groups = new LinkedHashMap<>();
     for (Need need : needs) {
+      groups.merge(
+          likeness(need.spec()),
+          need,
+          (one, other) -> new Need(one.spec(), one.tasks() + other.tasks()));
+    }
+    for (Need need : groups.values()) {
       int left = need.tasks();
       for (Room room : rooms) {
         if (left > 0 && permitted(need.spec(), room.kind)) {
@@ -136,6 +145,11 @@
     return rentals;
   }
 
+  private static String likeness(JobRequest spec) {
+    return spec.cpus() + "|" + spec.gpus() + "|" + spec.memoryGb() + "|" + spec.types() + "|"
+        + spec.zone() + "|" + spec.spot();
+  }
+
   /** A machine that will soon give room. One long overdue is not counted on. */
   private static boolean comes(Machine machine, long nowMicros) {
     return (machine.phase() == MachinePhase.BOOTING || machine.phase() == MachinePhase.GREETED)
--- a/src/main/java/org/dewreach/job/Admission.java
+++ b/src/main/java/org/dewreach/job/Admission.java
@@ -22,7 +22,7 @@
     if (team == null) {
       return "unknown team";
     }
-    int together = spec.shape() == Shape.SERVICE ? spec.tasks() : 1;
+    int together = spec.shape() == Shape.SWEEP ? 1 : spec.tasks();
     if (spec.cpus() * together > team.cpusMax() + EPS
         || spec.gpus() * together > team.gpusMax() + EPS) {
       return "more than the team's limit";
--- a/src/main/java/org/dewreach/job/Job.java
+++ b/src/main/java/org/dewreach/job/Job.java
@@ -132,7 +132,7 @@
   }
 
   public boolean complete() {
-    return spec.shape() == Shape.SWEEP && done.cardinality() >= spec.tasks();
+    return spec.shape() != Shape.SERVICE && done.cardinality() >= spec.tasks();
   }
 
   public Int2ObjectMap<Task> bound() {
--- a/src/main/java/org/dewreach/machine/Machine.java
+++ b/src/main/java/org/dewreach/machine/Machine.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.dewreach.task.Task;
+import org.dewreach.wire.JobRequest;
 import org.dewreach.wire.MachineType;
 import org.dewreach.wire.TaskName;
 
@@ -17,6 +18,7 @@
   private final boolean spot;
   private final Map<TaskName, Task> tasks = new LinkedHashMap<>();
   private final Set<String> erredJobs = new HashSet<>();
+  private final Map<String, Double> images = new LinkedHashMap<>();
   private MachinePhase phase;
   private String address;
   private boolean recorded;
@@ -191,6 +193,24 @@
     drainReason = why;
   }
 
+  /** True if the image is there, as far as we have seen, or on its way for another task. */
+  public boolean hasImage(String image) {
+    return images.containsKey(image);
+  }
+
+  /** A task needs the image here; the machine keeps the most recently used ones. */
+  private void useImage(JobRequest spec) {
+    images.remove(spec.image());
+    images.put(spec.image(), spec.imageGb());
+    double sum = 0;
+    for (double gb : images.values()) {
+      sum += gb;
+    }
+    while (sum > type.cacheGb() && images.size() > 1) {
+      sum -= images.remove(images.keySet().iterator().next());
+    }
+  }
+
   /** Jobs whose tasks failed here since a task last completed here. */
   public Set<String> erredJobs() {
     return erredJobs;
@@ -211,6 +231,7 @@
     usedCpus += task.spec().cpus();
     usedGpus += task.spec().gpus();
     usedMemoryGb += task.spec().memoryGb();
+    useImage(task.spec());
   }
 
   public void unbind(Task task, long nowMicros) {
--- a/src/main/java/org/dewreach/placement/SortFirstFit.java
+++ b/src/main/java/org/dewreach/placement/SortFirstFit.java
@@ -41,14 +41,38 @@
     return Collections.unmodifiableList(machines);
   }
 
-  /** The first machine of the list that is allowed and covers one task of the job, or null. */
+  /**
+   * The first machine of the list that is allowed and covers one task of the job, or null.
+   *
+   * <p>Among machines that the rule ranks equal (same CPU and memory) the name decides only after
+   * two things that the paper's machines did not have: work that may run on spot machines leaves
+   * the ordinary ones to work that may not, and an image that is there already is not fetched.
+   */
   public Machine firstFit(JobRequest spec, Predicate<Machine> allowed) {
+    Machine best = null;
+    int bestMerit = -1;
     for (Machine machine : machines) {
+      if (best != null && !ranksEqual(best, machine)) {
+        break;
+      }
       if (machine.usable() && covers(machine, spec) && allowed.test(machine)) {
-        return machine;
+        int merit = merit(machine, spec);
+        if (merit > bestMerit) {
+          best = machine;
+          bestMerit = merit;
+        }
       }
     }
-    return null;
+    return best;
+  }
+
+  private static boolean ranksEqual(Machine one, Machine other) {
+    return one.type().cpus() == other.type().cpus()
+        && one.type().memoryGb() == other.type().memoryGb();
+  }
+
+  private static int merit(Machine machine, JobRequest spec) {
+    return (machine.spot() ? 2 : 0) + (machine.hasImage(spec.image()) ? 1 : 0);
   }
 
   private static boolean covers(Machine machine, JobRequest spec) {
--- a/src/main/java/org/dewreach/wire/Shape.java
+++ b/src/main/java/org/dewreach/wire/Shape.java
@@ -1,8 +1,12 @@
 package org.dewreach.wire;
 
-/** Whether a job's tasks run to completion each, or run until the job is withdrawn. */
+/** How a job's tasks run. */
 public enum Shape {
+  /** Independent tasks; each runs to completion. */
   SWEEP("sweep"),
+  /** Tasks that run to completion, and only all at the same time. */
+  GANG("gang"),
+  /** Replicas that run until the job is withdrawn. */
   SERVICE("service");
 
   private final String word;
