--- a/src/main/java/org/dewreach/controller/ReportDesk.java
+++ b/src/main/java/org/dewreach/controller/ReportDesk.java
@@ -25,8 +25,9 @@
 /**
  * Reads workers' reports into the books and answers with what has to change.
  *
- * <p>Commands go out in report responses only. A worker has one report in flight and drops a
- * response after 4 s, so its next report tells surely whether the commands were carried out.
+ * <p>A worker has one report in flight and drops a response after 4 s, so its next report tells
+ * surely whether the commands of a response were carried out. {@link DirectOrders} says what holds
+ * for those sent directly.
  */
 final class ReportDesk {
   private static final Logger LOG = LoggerFactory.getLogger(ReportDesk.class);
@@ -47,15 +48,20 @@
     this.books = books;
   }
 
-  /** Reads a report that is newer than the last one of its machine, and returns the response. */
-  ObjectNode take(Machine machine, WorkerReport report, long nowMicros) {
+  /**
+   * Reads a report that is newer than the last one of its machine, and returns the response.
+   *
+   * @param answerable false if the report answers a direct command, so that no response follows
+   */
+  ObjectNode take(Machine machine, WorkerReport report, boolean answerable, long nowMicros) {
     if (machine.session() >= 0 && report.session() > machine.session()) {
       books.unbindAll(machine, "its worker began session " + report.session(), nowMicros);
     }
     machine.heard(report.session(), report.sequence(), nowMicros);
     machine.address(report.address());
-    // A worker that has never seen a token was never given a command by anybody.
-    boolean sure = report.token() == term || report.token() == 0;
+    // Commands of earlier terms may still arrive until the worker has seen our token, unless none
+    // were ever sent to it.
+    boolean sure = report.token() == term || report.token() == 0 && !machine.commandedBefore();
     settlePhase(machine, report, sure, nowMicros);
     List<Order> halts = new ArrayList<>();
     List<Order> clears = new ArrayList<>();
@@ -70,10 +76,9 @@
         settleBound(machine, task, seen.contains(task.name()), starts, halts, nowMicros);
       }
     }
-    machine.answered(nowMicros);
     ObjectNode response = Codec.map().put("warrant", term);
     ArrayNode orders = response.putArray("orders");
-    if (sure && machine.recorded()) {
+    if (sure && answerable && machine.recorded()) {
       for (List<Order> group : List.of(halts, clears, starts)) {
         for (Order order : group) {
           if (orders.size() < MOST_ORDERS) {
@@ -90,7 +95,9 @@
   private void sent(Machine machine, Order order, WorkerReport report, long nowMicros) {
     if (order instanceof Order.Start) {
       Task task = machine.task(order.task());
-      task.become(TaskPhase.STARTING, nowMicros);
+      if (task.phase() == TaskPhase.ASSIGNED) {
+        task.become(TaskPhase.STARTING, nowMicros);
+      }
       task.sentInAnswerTo(report.sequence());
     }
   }
@@ -139,7 +146,8 @@
     if (exited) {
       // The result stays reported until it is durable, so that no leader can miss it.
       boolean keep =
-          reported.cause() == Cause.DONE
+          machine.wasStartedDirectly(reported.attempt())
+              || reported.cause() == Cause.DONE
               && job != null
               && job.phase() == JobPhase.LIVE
               && !job.durable().get(name.index());
@@ -200,7 +208,8 @@
           machine.setAside(true);
         }
       }
-      case FULL, IN_USE -> machine.refusedAt(nowMicros);
+      case FULL -> machine.refusedAt(nowMicros);
+      case IN_USE -> job.avoid(machine.name());
       case NO_SUCH -> job.rest(nowMicros + 2_000_000);
       case STOPPED, NONE -> {
         // it goes back to the queue
@@ -230,13 +239,17 @@
         }
       }
       case PULLING, RUNNING -> {
-        if (!shown) {
+        if (!shown && !task.mayStartLate()) {
           books.unbind(task, "not reported any more", nowMicros);
         }
       }
       case STOPPING -> {
         if (shown) {
           halts.add(new Order.Halt(task.name(), task.attempt(), grace(machine, task, nowMicros)));
+        } else if (task.mayStartLate()) {
+          // Once the worker knows the attempt, the late start has no effect.
+          starts.add(new Order.Start(task.name(), task.attempt()));
+          starts.add(new Order.Halt(task.name(), task.attempt(), 0));
         } else {
           books.unbind(task, "stopped before it started", nowMicros);
         }
--- a/src/main/java/org/dewreach/controller/Term.java
+++ b/src/main/java/org/dewreach/controller/Term.java
@@ -19,6 +19,7 @@
 import org.dewreach.store.RateBudget;
 import org.dewreach.store.StateService;
 import org.dewreach.store.Write;
+import org.dewreach.wire.Codec;
 import org.dewreach.wire.MachineType;
 import org.dewreach.wire.WorkerReport;
 import org.slf4j.Logger;
@@ -66,6 +67,7 @@
   private final LeaderDesk users;
   private final FleetDesk fleet;
   private final Dispatcher dispatcher;
+  private final DirectOrders direct;
   private final Deque<ParkedReport> parkedReports = new ArrayDeque<>();
   private final Deque<ParkedRequest> parkedRequests = new ArrayDeque<>();
   private Phase phase = Phase.LOADING;
@@ -108,6 +110,7 @@
     this.fleet =
         new FleetDesk(
             number, books, recorder, cloud, catalog, settings, nowMicros, wallOffset);
+    this.direct = new DirectOrders(number, calls, books, this::directReport);
     this.dispatcher = new Dispatcher(books, new QueueOrder(settings.teams()));
   }
 
@@ -235,6 +238,7 @@
     }
     lastPass = nowMicros;
     waiting = dispatcher.pass(nowMicros, phase == Phase.ACTIVE);
+    direct.send(nowMicros);
   }
 
   private void pumpJobs(long nowMicros) {
@@ -270,12 +274,32 @@
       }
     }
     if (!machine.isNewer(report.session(), report.sequence())) {
-      // Held up on the way: the worker has sent newer ones, and does not wait for this answer.
-      calls.respond(requestId, 503, null);
+      // Held up on the way, or passed by the answer to a direct command: nothing in it is news.
+      // The worker may still wait for the answer, and its lease counts from the sending.
+      machine.answered(nowMicros);
+      var empty = Codec.map().put("warrant", number);
+      empty.putArray("orders");
+      calls.respond(requestId, 200, empty);
       return;
     }
-    var response = reports.take(machine, report, nowMicros);
+    var response = reports.take(machine, report, true, nowMicros);
+    machine.answered(nowMicros);
     calls.respond(requestId, 200, response);
+    pumpExited(report, nowMicros);
+  }
+
+  /** The answer to a direct command; it carries no orders back and extends no lease. */
+  private void directReport(Machine machine, WorkerReport report, long nowMicros) {
+    if (phase != Phase.CLOSED
+        && authority.test(nowMicros)
+        && machine.phase() != MachinePhase.GONE
+        && machine.isNewer(report.session(), report.sequence())) {
+      reports.take(machine, report, false, nowMicros);
+      pumpExited(report, nowMicros);
+    }
+  }
+
+  private void pumpExited(WorkerReport report, long nowMicros) {
     for (WorkerReport.ReportedTask task : report.tasks()) {
       if (task.state() == WorkerReport.TaskState.EXITED) {
         Job job = books.jobs().get(task.name().jobId());
@@ -370,6 +394,7 @@
     become(Phase.CLOSED);
     loader.close();
     fleet.close();
+    direct.close();
     queue.close(nowMicros);
     users.close();
     parkedReports.forEach(parked -> calls.respond(parked.requestId(), 503, null));
--- a/src/main/java/org/dewreach/job/Job.java
+++ b/src/main/java/org/dewreach/job/Job.java
@@ -189,10 +189,7 @@
 
   /** A task failed: the job rests longer each time, and avoids the machine. */
   public void failedOn(String machine, long nowMicros) {
-    suspects.add(machine);
-    if (suspects.size() > MOST_SUSPECTS) {
-      suspects.remove(suspects.iterator().next());
-    }
+    avoid(machine);
     errors++;
     if (suspects.size() > 1) {
       long pause = Math.min(60_000_000L, 500_000L << Math.min(errors, 8));
@@ -200,6 +197,14 @@
     }
   }
 
+  /** Its tasks are not placed on the machine, until others were avoided since. */
+  public void avoid(String machine) {
+    suspects.add(machine);
+    if (suspects.size() > MOST_SUSPECTS) {
+      suspects.remove(suspects.iterator().next());
+    }
+  }
+
   /** Nothing of it is started before the given time. */
   public void rest(long untilMicros) {
     notBefore = Math.max(notBefore, untilMicros);
--- a/src/main/java/org/dewreach/machine/Machine.java
+++ b/src/main/java/org/dewreach/machine/Machine.java
@@ -1,5 +1,6 @@
 package org.dewreach.machine;
 
+import it.unimi.dsi.fastutil.longs.LongOpenHashSet;
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -19,6 +20,7 @@
   private final Map<TaskName, Task> tasks = new LinkedHashMap<>();
   private final Set<String> erredJobs = new HashSet<>();
   private final Map<String, Double> images = new LinkedHashMap<>();
+  private final boolean commandedBefore;
   private MachinePhase phase;
   private String address;
   private boolean recorded;
@@ -36,7 +38,9 @@
   private boolean setAside;
   private boolean everUp;
   private long refusedAt = Long.MIN_VALUE / 2;
-  private String drainReason = "";
+  private final LongOpenHashSet directAttempts = new LongOpenHashSet();
+  private boolean directInFlight;
+  private long directAgainAt;
 
   public Machine(
       String name,
@@ -52,6 +56,7 @@
     this.zone = zone;
     this.spot = spot;
     this.phase = phase;
+    this.commandedBefore = phase == MachinePhase.UNHEARD;
     this.knownSince = nowMicros;
     this.idleSince = nowMicros;
     this.lastReport = nowMicros;
@@ -100,6 +105,11 @@
     return phase;
   }
 
+  /** True if a leader of an earlier term may have sent it commands that are still on their way. */
+  public boolean commandedBefore() {
+    return commandedBefore;
+  }
+
   public boolean recorded() {
     return recorded;
   }
@@ -134,6 +144,9 @@
   }
 
   public void heard(long reportSession, long reportSequence, long nowMicros) {
+    if (reportSession != session) {
+      directAttempts.clear();
+    }
     session = reportSession;
     sequence = reportSequence;
     lastReport = nowMicros;
@@ -185,12 +198,34 @@
     refusedAt = nowMicros;
   }
 
-  public String drainReason() {
-    return drainReason;
+  /** An attempt that its worker must not forget in this session. */
+  public void startedDirectly(long attempt) {
+    directAttempts.add(attempt);
+  }
+
+  public boolean wasStartedDirectly(long attempt) {
+    return directAttempts.contains(attempt);
+  }
+
+  public int directStarts() {
+    return directAttempts.size();
+  }
+
+  public boolean directInFlight() {
+    return directInFlight;
+  }
+
+  public void directInFlight(boolean now) {
+    directInFlight = now;
+  }
+
+  /** No direct command before this time: the last one had no answer. */
+  public long directAgainAt() {
+    return directAgainAt;
   }
 
-  public void drainReason(String why) {
-    drainReason = why;
+  public void directAgainAt(long micros) {
+    directAgainAt = micros;
   }
 
   /** True if the image is there, as far as we have seen, or on its way for another task. */
--- a/src/main/java/org/dewreach/net/Node.java
+++ b/src/main/java/org/dewreach/net/Node.java
@@ -30,6 +30,7 @@
   private final HttpClient client;
   private final Core core;
   private final Map<String, Settings.Address> members = new HashMap<>();
+  private final Map<String, Settings.Address> workers = new HashMap<>();
   private final Long2ObjectOpenHashMap<HttpServer.Reply> requests = new Long2ObjectOpenHashMap<>();
   private final long startNanos = System.nanoTime();
   private long lastRequest;
@@ -102,15 +103,23 @@
     }
   }
 
+  /** A worker's own word; one that is no address leads nowhere, and the call ends unanswered. */
+  private static Settings.Address parse(String text) {
+    int colon = text.lastIndexOf(':');
+    try {
+      return new Settings.Address(
+          text.substring(0, Math.max(0, colon)), Integer.parseInt(text.substring(colon + 1)));
+    } catch (NumberFormatException e) {
+      return new Settings.Address("127.0.0.1", 1);
+    }
+  }
+
   private Settings.Address address(Target target) {
     if (target instanceof Target.Member member) {
       return members.get(member.name());
     }
     if (target instanceof Target.Worker worker) {
-      int colon = worker.address().lastIndexOf(':');
-      return new Settings.Address(
-          worker.address().substring(0, colon),
-          Integer.parseInt(worker.address().substring(colon + 1)));
+      return workers.computeIfAbsent(worker.address(), Node::parse);
     }
     return target instanceof Target.Cloud ? settings.cloud() : settings.state();
   }
--- /dev/null
+++ b/src/main/java/org/dewreach/task/DirectStart.java
@@ -0,0 +1,13 @@
+package org.dewreach.task;
+
+/** What is known of a start that was sent to the worker directly. */
+public enum DirectStart {
+  /** None was sent. */
+  NONE,
+  /** Sent; no answer yet. */
+  SENT,
+  /** The worker answered: its report shows whether the task is there. */
+  ANSWERED,
+  /** No answer came: the worker may still carry it out, minutes later. */
+  LOST
+}
--- a/src/main/java/org/dewreach/task/Task.java
+++ b/src/main/java/org/dewreach/task/Task.java
@@ -16,7 +16,8 @@
   private long boundAt;
   private long startedAt;
   private long sentSequence = -1;
-  private boolean completed;
+  private DirectStart direct = DirectStart.NONE;
+  private boolean haltSentDirectly;
 
   public Task(
       Job job, int index, long attempt, Machine machine, TaskPhase phase, long nowMicros) {
@@ -90,13 +91,21 @@
     sentSequence = sequence;
   }
 
-  /** True if it exited because it had completed. */
-  public boolean completed() {
-    return completed;
+  /** True if a direct start is on its way, or was lost: its absence in a report proves nothing. */
+  public boolean mayStartLate() {
+    return direct == DirectStart.SENT || direct == DirectStart.LOST;
   }
 
-  public void markCompleted() {
-    completed = true;
+  public void direct(DirectStart now) {
+    direct = now;
+  }
+
+  public boolean haltSentDirectly() {
+    return haltSentDirectly;
+  }
+
+  public void markHaltSentDirectly() {
+    haltSentDirectly = true;
   }
 
   public TaskName name() {
--- a/src/test/java/org/dewreach/sim/SimCloud.java
+++ b/src/test/java/org/dewreach/sim/SimCloud.java
@@ -125,7 +125,7 @@
         break;
       }
       if (shown) {
-        ObjectNode item = list.addObject().put("uid", host.name()).put("address", "10.1.0.1:9000");
+        ObjectNode item = list.addObject().put("uid", host.name()).put("address", host.name());
         item.put("build", host.type().name()).put("site", host.zone()).put("loaners", host.spot());
         item.put("standing", workers.containsKey(host.name()) ? "running" : "booting");
         item.put("age_s", (world.clock.now() - host.since()) / 1e6);
--- a/src/test/java/org/dewreach/sim/SimWorker.java
+++ b/src/test/java/org/dewreach/sim/SimWorker.java
@@ -141,7 +141,7 @@
 
   private ObjectNode body() {
     ObjectNode body = Codec.map();
-    body.put("host", name).put("address", "10.1.0.1:9000").put("build", type).put("site", zone);
+    body.put("host", name).put("address", name).put("build", type).put("site", zone);
     body.put("loaners", spot).put("tenure", tenure).put("tally", ++tally).put("warrant", token);
     if (recallAt >= 0) {
       body.put("recall_s", Math.max(0, recallAt - world.clock.now()) / 1e6);
@@ -233,6 +233,26 @@
     scheduleReport(changed ? Math.max(1, lastSent + 500_000 - world.clock.now()) : next);
   }
 
+  /** POST /do. */
+  void command(JsonNode body, SimState.Reply reply) {
+    if (dead) {
+      return;
+    }
+    if (hung()) {
+      world.clock.at(hungUntil, () -> command(body, reply));
+      return;
+    }
+    long given = body.path("warrant").asLong();
+    if (given < token || body.path("tenure").asLong() != tenure) {
+      reply.send(409, body());
+      return;
+    }
+    token = given;
+    body.path("orders").forEach(this::execute);
+    reply.send(200, body());
+    change();
+  }
+
   private void execute(JsonNode order) {
     String key = order.path("piece").asText();
     long attempt = order.path("try").asLong();
--- a/src/test/java/org/dewreach/sim/World.java
+++ b/src/test/java/org/dewreach/sim/World.java
@@ -199,12 +199,24 @@
     if (target instanceof Target.Member member) {
       return member.name();
     }
+    if (target instanceof Target.Worker worker) {
+      return worker.address();
+    }
     return target instanceof Target.Cloud ? "cloud" : "state";
   }
 
   private void serve(String name, Effect.Call call, JsonNode body, SimState.Reply back) {
     if (call.target() instanceof Target.Member member) {
       request(member.name(), Event.Source.PEER, call.method(), call.path(), body, back);
+    } else if (call.target() instanceof Target.Worker worker) {
+      SimWorker found = cloud.workers.get(worker.address());
+      if (found != null) {
+        found.command(body, back);
+        if (random.nextInt(100) == 0) {
+          // A late copy of a request that was carried out.
+          clock.in(random.nextLong(40_000_000), () -> found.command(body, (status, answer) -> {}));
+        }
+      }
     } else if (call.target() instanceof Target.Cloud) {
       cloud.handle(call.path(), body, back);
     } else {
