--- a/src/main/java/org/dewreach/controller/Books.java
+++ b/src/main/java/org/dewreach/controller/Books.java
@@ -9,6 +9,7 @@
 import org.dewreach.machine.Machine;
 import org.dewreach.machine.MachinePhase;
 import org.dewreach.placement.Quotas;
+import org.dewreach.placement.ServiceRate;
 import org.dewreach.placement.SortFirstFit;
 import org.dewreach.task.Task;
 import org.dewreach.task.TaskPhase;
@@ -24,6 +25,7 @@
   private final Map<String, Machine> machines = new LinkedHashMap<>();
   private final SortFirstFit list = new SortFirstFit();
   private final Quotas quotas;
+  private final ServiceRate services = new ServiceRate();
   private long lastAttempt;
   private boolean changed = true;
 
@@ -48,6 +50,21 @@
     return quotas;
   }
 
+  ServiceRate services() {
+    return services;
+  }
+
+  /** CPUs that ordinary machines have free for new tasks. */
+  double ordinaryFreeCpus() {
+    double free = 0;
+    for (Machine machine : list.machines()) {
+      if (!machine.spot() && machine.usable()) {
+        free += machine.freeCpus();
+      }
+    }
+    return free;
+  }
+
   /** Room or demand changed: placement should look again. */
   void touch() {
     changed = true;
--- a/src/main/java/org/dewreach/controller/Dispatcher.java
+++ b/src/main/java/org/dewreach/controller/Dispatcher.java
@@ -34,6 +34,8 @@
 
   private final Books books;
   private final QueueOrder order;
+  private double headroom;
+  private double ordinaryFree;
 
   Dispatcher(Books books, QueueOrder order) {
     this.books = books;
@@ -43,10 +45,11 @@
   /**
    * One pass.
    *
+   * @param bootMicros time that a new machine takes; room is kept for services that come meanwhile
    * @param recovered false while some machine of an earlier term was not heard: then only jobs of
    *     this term are started, and all that may run of earlier ones counts against the quotas
    */
-  List<Waiting> pass(long nowMicros, boolean recovered) {
+  List<Waiting> pass(long nowMicros, boolean recovered, long bootMicros) {
     List<Waiting> waiting = new ArrayList<>();
     List<Job> queue = new ArrayList<>();
     Map<Job, Integer> reserved = new HashMap<>();
@@ -65,9 +68,16 @@
         queue.add(job);
       }
     }
+    headroom = books.services().headroomCpus(bootMicros, nowMicros);
+    boolean measured = false;
     Set<String> full = new HashSet<>();
     int placed = 0;
     for (Job job : queue) {
+      if (!measured && job.spec().spot()) {
+        // Services come first in the queue, so what they take is gone from this already.
+        ordinaryFree = books.ordinaryFreeCpus();
+        measured = true;
+      }
       int pending = job.pending();
       if (pending == 0 || job.notBefore() > nowMicros) {
         continue;
@@ -156,12 +166,19 @@
       allowed = allowed.and(machine -> inZone(job, machine.zone()) < most);
     }
     List<Task> placed = new ArrayList<>();
+    boolean yields = spec.shape() != Shape.SERVICE && spec.spot();
     while (placed.size() < count) {
       int index = job.nextPending();
       Machine machine = index < 0 ? null : books.list().firstFit(spec, allowed);
       if (machine == null) {
         break;
       }
+      if (yields && !machine.spot()) {
+        if (ordinaryFree - spec.cpus() < headroom) {
+          break;
+        }
+        ordinaryFree -= spec.cpus();
+      }
       placed.add(
           books.bind(job, index, books.nextAttempt(), machine, TaskPhase.ASSIGNED, nowMicros));
     }
--- a/src/main/java/org/dewreach/controller/FleetDesk.java
+++ b/src/main/java/org/dewreach/controller/FleetDesk.java
@@ -42,6 +42,15 @@
   /** Horizon in which waiting work without a deadline is to be worked off. Ours. */
   private static final long WORK_OFF = 60_000_000;
 
+  /** Room has to be there this long before a machine is let run empty. Ours. */
+  private static final long ROOMY_FOR = 10_000_000;
+
+  /** A machine with more of its CPUs taken by services would only run empty after long. Ours. */
+  private static final double MOST_SERVED = 0.25;
+
+  /** Work for spot machines gets ordinary ones too when it would wait longer than this. Ours. */
+  private static final double LONG_BACKLOG_S = 30;
+
   private static final int MOST_RETURNED = 100;
   private static final int MOST_REMEMBERED = 4_000;
   private static final int MOST_RENT_TRIES = 4;
@@ -73,6 +82,7 @@
   private final long startedAt;
   private final long wallOffset;
   private long lastRequest;
+  private long roomySince;
   private long nextRound;
   private long nextList;
   private boolean listing;
@@ -122,7 +132,8 @@
     nextRound = nowMicros + ROUND_EVERY;
     watchSilent(nowMicros);
     drain(nowMicros);
-    returnIdle(nowMicros, !waiting.isEmpty());
+    retire(nowMicros, waiting);
+    returnIdle(nowMicros);
     giveBack(nowMicros);
     if (mayRent) {
       rent(nowMicros, waiting);
@@ -205,11 +216,84 @@
     }
   }
 
-  private void returnIdle(long nowMicros, boolean someWait) {
+  /** Typical time until a machine rented now is of use. */
+  long bootMicros() {
+    long longest = 0;
+    for (MachineType type : catalog.types()) {
+      longest = Math.max(longest, type.bootMicros());
+    }
+    return longest + 5_000_000;
+  }
+
+  /**
+   * Lets one machine at a time run empty when the others have had room enough for all of its tasks
+   * for a while. The dearest goes first, among equals the last of the list, which fills last.
+   */
+  private void retire(long nowMicros, List<Dispatcher.Waiting> waiting) {
+    if (!waiting.isEmpty()) {
+      roomySince = nowMicros;
+      for (Machine machine : books.machines().values()) {
+        if (machine.retiring() && machine.phase() == MachinePhase.UP) {
+          LOG.info("machine {} is needed again", machine.name());
+          machine.retiring(false);
+          books.touch();
+        }
+      }
+      return;
+    }
+    double ordinary = 0;
+    double spot = 0;
+    for (Machine machine : books.list().machines()) {
+      if (machine.usable()) {
+        if (machine.spot()) {
+          spot += machine.freeCpus();
+        } else {
+          ordinary += machine.freeCpus();
+        }
+      }
+    }
+    double headroom = books.services().headroomCpus(bootMicros(), nowMicros);
+    Machine best = null;
+    for (Machine machine : books.list().machines()) {
+      if (!machine.usable() || nowMicros - machine.knownSince() < LEAST_PAID) {
+        continue;
+      }
+      double services = 0;
+      for (Task task : machine.tasks()) {
+        services += task.spec().spot() ? 0 : task.spec().cpus();
+      }
+      // What it offers now, and the room that its tasks would take elsewhere.
+      double capacity = machine.type().cpus();
+      boolean room =
+          machine.spot()
+              ? spot + ordinary - headroom >= capacity
+              : ordinary - machine.freeCpus() - services >= headroom
+                  && spot + ordinary - headroom >= capacity;
+      if (room && (best == null || pricePerCpu(machine) >= pricePerCpu(best) - 1e-9)
+          && services <= capacity * MOST_SERVED) {
+        best = machine;
+      }
+    }
+    if (best == null) {
+      roomySince = nowMicros;
+    } else if (nowMicros - roomySince > ROOMY_FOR) {
+      LOG.info("machine {} is to run empty", best.name());
+      best.retiring(true);
+      roomySince = nowMicros - ROOMY_FOR / 2;
+    }
+  }
+
+  private static double pricePerCpu(Machine machine) {
+    MachineType type = machine.type();
+    return (machine.spot() ? type.spotPrice() : type.price()) / Math.max(1, type.cpus());
+  }
+
+  private void returnIdle(long nowMicros) {
     for (Machine machine : books.machines().values()) {
+      long kept = machine.retiring() ? 0 : IDLE_KEPT;
       if (machine.phase() == MachinePhase.UP
           && machine.tasks().isEmpty()
-          && nowMicros - machine.idleSince() > IDLE_KEPT
+          && nowMicros - machine.idleSince() > kept
           && nowMicros - machine.knownSince() > LEAST_PAID) {
         giveUp(machine, "idle", nowMicros);
       }
@@ -274,6 +358,27 @@
     if (catalog.types().isEmpty() || asked.size() >= 6) {
       return;
     }
+    double batchCpus = 0;
+    for (Machine machine : books.machines().values()) {
+      boolean counts =
+          machine.phase() == MachinePhase.UP || machine.phase() == MachinePhase.BOOTING;
+      if (counts && machine.spot()) {
+        batchCpus += machine.type().cpus();
+      } else if (counts) {
+        batchCpus += machine.freeCpus();
+        for (Task task : machine.tasks()) {
+          batchCpus += task.spec().spot() ? task.spec().cpus() : 0;
+        }
+      }
+    }
+    double backlog = 0;
+    for (Dispatcher.Waiting item : waiting) {
+      JobRequest spec = item.job().spec();
+      if (spec.spot()) {
+        backlog += item.tasks() * spec.cpus() * (spec.expectedMicros() / 1e6 + 3);
+      }
+    }
+    boolean longBacklog = backlog > batchCpus * LONG_BACKLOG_S;
     List<Need> needs = new ArrayList<>();
     for (Dispatcher.Waiting item : waiting) {
       int tasks = worthRenting(item, nowMicros);
@@ -289,7 +394,13 @@
       askedFor.addAll(Collections.nCopies(request.rental.count(), request.rental.kind()));
     }
     for (Rental rental :
-        planner.plan(needs, books.machines().values(), askedFor, catalog.types(), nowMicros)) {
+        planner.plan(
+            needs,
+            books.machines().values(),
+            askedFor,
+            catalog.types(),
+            longBacklog,
+            nowMicros)) {
       if (asked.size() < 6 && cloud.mayCall(nowMicros)) {
         // The term makes the name unique among leaders, the counter within the term.
         Asked request = new Asked("dw-" + term + "-" + ++lastRequest, rental);
--- /dev/null
+++ b/src/main/java/org/dewreach/controller/Preemption.java
@@ -0,0 +1,168 @@
+package org.dewreach.controller;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.dewreach.job.Job;
+import org.dewreach.machine.Machine;
+import org.dewreach.placement.SortFirstFit;
+import org.dewreach.task.Task;
+import org.dewreach.task.TaskPhase;
+import org.dewreach.wire.JobRequest;
+import org.dewreach.wire.Shape;
+
+/**
+ * Makes room for more urgent work that fits nowhere by stopping less urgent tasks.
+ *
+ * <p>Machines are walked in the order of the list. Room that is being freed already is counted, so
+ * that one need does not stop tasks twice.
+ */
+final class Preemption {
+  private static final double EPS = 1e-9;
+
+  /** Bounds what one pass may stop; the next pass goes on. */
+  private static final int MOST_STOPPED = 24;
+
+  /** Room that a machine has or will have. */
+  private static final class Room {
+    double cpus;
+    double gpus;
+    double memoryGb;
+
+    Room(Machine machine) {
+      cpus = machine.freeCpus();
+      gpus = machine.freeGpus();
+      memoryGb = machine.freeMemoryGb();
+    }
+
+    void add(JobRequest spec) {
+      cpus += spec.cpus();
+      gpus += spec.gpus();
+      memoryGb += spec.memoryGb();
+    }
+
+    boolean covers(JobRequest spec) {
+      return spec.cpus() <= cpus + EPS
+          && spec.gpus() <= gpus + EPS
+          && spec.memoryGb() <= memoryGb + EPS;
+    }
+
+    void take(JobRequest spec) {
+      cpus -= spec.cpus();
+      gpus -= spec.gpus();
+      memoryGb -= spec.memoryGb();
+    }
+  }
+
+  private final Books books;
+
+  Preemption(Books books) {
+    this.books = books;
+  }
+
+  void makeRoom(List<Dispatcher.Waiting> waiting, long nowMicros) {
+    Map<Machine, Room> rooms = new HashMap<>();
+    Set<Task> chosen = new HashSet<>();
+    for (Dispatcher.Waiting item : waiting) {
+      JobRequest spec = item.job().spec();
+      boolean alone =
+          spec.shape() != Shape.GANG && !spec.together() && !spec.scatter();
+      if (!alone || !hasLessUrgent(spec)) {
+        continue;
+      }
+      for (int i = 0; i < item.tasks() && chosen.size() < MOST_STOPPED; i++) {
+        if (!find(item.job(), rooms, chosen)) {
+          break;
+        }
+      }
+    }
+    for (Task task : chosen) {
+      books.stop(task, "room for more urgent work", nowMicros);
+    }
+    if (!chosen.isEmpty()) {
+      books.touch();
+    }
+  }
+
+  private boolean hasLessUrgent(JobRequest spec) {
+    for (Job job : books.jobs().values()) {
+      if (spec.urgency().above(job.spec().urgency()) && !job.bound().isEmpty()) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Sets room for one task aside, choosing tasks to stop where it needs them. */
+  private boolean find(Job job, Map<Machine, Room> rooms, Set<Task> chosen) {
+    JobRequest spec = job.spec();
+    List<Machine> candidates = new ArrayList<>();
+    for (Machine machine : books.list().machines()) {
+      if (machine.usable()
+          && SortFirstFit.permitted(spec, machine)
+          && !job.suspects().contains(machine.name())) {
+        Room room = rooms.computeIfAbsent(machine, Preemption::withFreed);
+        if (room.covers(spec)) {
+          room.take(spec);
+          return true;
+        }
+        candidates.add(machine);
+      }
+    }
+    for (Machine machine : candidates) {
+      List<Task> victims = victims(machine, spec, rooms.get(machine), chosen);
+      if (!victims.isEmpty()) {
+        Room room = rooms.get(machine);
+        victims.forEach(task -> room.add(task.spec()));
+        room.take(spec);
+        chosen.addAll(victims);
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private static Room withFreed(Machine machine) {
+    Room room = new Room(machine);
+    for (Task task : machine.tasks()) {
+      if (task.phase() == TaskPhase.STOPPING) {
+        room.add(task.spec());
+      }
+    }
+    return room;
+  }
+
+  /** The fewest, latest started of the machine's less urgent tasks that make room, or none. */
+  private static List<Task> victims(
+      Machine machine, JobRequest spec, Room room, Set<Task> chosen) {
+    List<Task> less = new ArrayList<>();
+    for (Task task : machine.tasks()) {
+      if (spec.urgency().above(task.spec().urgency())
+          && task.phase() != TaskPhase.STOPPING
+          && !chosen.contains(task)) {
+        less.add(task);
+      }
+    }
+    less.sort(Comparator.comparingLong(Task::boundAt).reversed());
+    double cpus = room.cpus;
+    double gpus = room.gpus;
+    double memoryGb = room.memoryGb;
+    List<Task> victims = new ArrayList<>();
+    for (Task task : less) {
+      victims.add(task);
+      cpus += task.spec().cpus();
+      gpus += task.spec().gpus();
+      memoryGb += task.spec().memoryGb();
+      if (spec.cpus() <= cpus + EPS
+          && spec.gpus() <= gpus + EPS
+          && spec.memoryGb() <= memoryGb + EPS) {
+        return victims;
+      }
+    }
+    return List.of();
+  }
+}
--- a/src/main/java/org/dewreach/controller/Term.java
+++ b/src/main/java/org/dewreach/controller/Term.java
@@ -21,6 +21,7 @@
 import org.dewreach.store.Write;
 import org.dewreach.wire.Codec;
 import org.dewreach.wire.MachineType;
+import org.dewreach.wire.Shape;
 import org.dewreach.wire.WorkerReport;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -68,6 +69,7 @@
   private final FleetDesk fleet;
   private final Dispatcher dispatcher;
   private final DirectOrders direct;
+  private final Preemption preemption;
   private final Deque<ParkedReport> parkedReports = new ArrayDeque<>();
   private final Deque<ParkedRequest> parkedRequests = new ArrayDeque<>();
   private Phase phase = Phase.LOADING;
@@ -110,6 +112,7 @@
     this.fleet =
         new FleetDesk(
             number, books, recorder, cloud, catalog, settings, nowMicros, wallOffset);
+    this.preemption = new Preemption(books);
     this.direct = new DirectOrders(number, calls, books, this::directReport);
     this.dispatcher = new Dispatcher(books, new QueueOrder(settings.teams()));
   }
@@ -237,7 +240,10 @@
       return;
     }
     lastPass = nowMicros;
-    waiting = dispatcher.pass(nowMicros, phase == Phase.ACTIVE);
+    waiting = dispatcher.pass(nowMicros, phase == Phase.ACTIVE, fleet.bootMicros());
+    if (phase == Phase.ACTIVE) {
+      preemption.makeRoom(waiting, nowMicros);
+    }
     direct.send(nowMicros);
   }
 
@@ -364,6 +370,9 @@
   @Override
   public void onAccepted(Job job, long nowMicros) {
     LOG.info("job {} accepted: {} tasks", job.id(), job.spec().tasks());
+    if (job.spec().shape() == Shape.SERVICE) {
+      books.services().arrived(job.spec(), nowMicros);
+    }
     books.touch();
     users.onAccepted(job);
   }
--- a/src/main/java/org/dewreach/fleet/FleetPlanner.java
+++ b/src/main/java/org/dewreach/fleet/FleetPlanner.java
@@ -90,12 +90,17 @@
     return entry == null || entry[0] <= nowMicros;
   }
 
-  /** What to ask for now. */
+  /**
+   * What to ask for now.
+   *
+   * @param ordinaryForAll false if work that may run on spot machines is to get only those
+   */
   public List<Rental> plan(
       List<Need> needs,
       Collection<Machine> machines,
       List<Kind> askedFor,
       List<MachineType> catalog,
+      boolean ordinaryForAll,
       long nowMicros) {
     List<Room> rooms = new ArrayList<>();
     for (Machine machine : machines) {
@@ -126,7 +131,7 @@
         }
       }
       while (left > 0) {
-        Kind kind = cheapest(need.spec(), left, catalog, nowMicros);
+        Kind kind = cheapest(need.spec(), left, catalog, ordinaryForAll, nowMicros);
         if (kind == null) {
           break;
         }
@@ -164,7 +169,11 @@
   }
 
   private Kind cheapest(
-      JobRequest spec, int tasks, List<MachineType> catalog, long nowMicros) {
+      JobRequest spec,
+      int tasks,
+      List<MachineType> catalog,
+      boolean ordinaryForAll,
+      long nowMicros) {
     Kind best = null;
     double bestCost = Double.POSITIVE_INFINITY;
     for (MachineType type : catalog) {
@@ -174,7 +183,9 @@
       for (String zone : type.zones()) {
         for (boolean spot : new boolean[] {true, false}) {
           Kind kind = new Kind(type, zone, spot);
-          if (!permitted(spec, kind) || !available(kind, nowMicros)) {
+          if (!permitted(spec, kind)
+              || !available(kind, nowMicros)
+              || spec.spot() && !spot && !ordinaryForAll) {
             continue;
           }
           double cost = kind.price() / Math.min(tasks, new Room(kind).take(spec, tasks));
--- a/src/main/java/org/dewreach/machine/Machine.java
+++ b/src/main/java/org/dewreach/machine/Machine.java
@@ -36,6 +36,7 @@
   private double usedGpus;
   private double usedMemoryGb;
   private boolean setAside;
+  private boolean retiring;
   private boolean everUp;
   private long refusedAt = Long.MIN_VALUE / 2;
   private final LongOpenHashSet directAttempts = new LongOpenHashSet();
@@ -181,6 +182,15 @@
     recallAt = micros;
   }
 
+  /** True if it is to run empty, since the others have room enough. */
+  public boolean retiring() {
+    return retiring;
+  }
+
+  public void retiring(boolean now) {
+    retiring = now;
+  }
+
   public boolean setAside() {
     return setAside;
   }
@@ -299,6 +309,6 @@
 
   /** True if new tasks may be placed here. */
   public boolean usable() {
-    return phase == MachinePhase.UP && recorded && !setAside && recallAt < 0;
+    return phase == MachinePhase.UP && recorded && !setAside && !retiring && recallAt < 0;
   }
 }
--- /dev/null
+++ b/src/main/java/org/dewreach/placement/ServiceRate.java
@@ -0,0 +1,42 @@
+package org.dewreach.placement;
+
+import org.dewreach.wire.JobRequest;
+
+/**
+ * How much room to keep for services that are still to come.
+ *
+ * <p>Departures make room for arrivals on average; what has to be kept is for their unevenness
+ * over the time that a new machine takes. With n arrivals expected in that time, that is a little
+ * more than the root of n.
+ */
+public final class ServiceRate {
+  /** Arrivals are forgotten over about this long. Ours. */
+  private static final double MEMORY_MICROS = 120e6;
+
+  private static final double SPREADS = 1.5;
+
+  private double perMicro;
+  private double largestCpus;
+  private long lastMicros;
+
+  /** A service was accepted. */
+  public void arrived(JobRequest spec, long nowMicros) {
+    decay(nowMicros);
+    perMicro += spec.tasks() / MEMORY_MICROS;
+    largestCpus = Math.max(largestCpus, spec.cpus());
+  }
+
+  private void decay(long nowMicros) {
+    if (nowMicros > lastMicros) {
+      perMicro *= Math.exp((lastMicros - nowMicros) / MEMORY_MICROS);
+      lastMicros = nowMicros;
+    }
+  }
+
+  /** CPUs to keep free for services when a new machine takes the time given. */
+  public double headroomCpus(long bootMicros, long nowMicros) {
+    decay(nowMicros);
+    double expected = perMicro * bootMicros;
+    return expected < 0.2 ? 0 : Math.ceil(SPREADS * Math.sqrt(expected)) * largestCpus;
+  }
+}
--- a/src/main/java/org/dewreach/placement/SortFirstFit.java
+++ b/src/main/java/org/dewreach/placement/SortFirstFit.java
@@ -44,22 +44,32 @@
   /**
    * The first machine of the list that is allowed and covers one task of the job, or null.
    *
-   * <p>Among machines that the rule ranks equal (same CPU and memory) the name decides only after
-   * two things that the paper's machines did not have: work that may run on spot machines leaves
-   * the ordinary ones to work that may not, and an image that is there already is not fetched.
+   * <p>Work that may run on spot machines walks the list over those first, and then over the
+   * ordinary ones: only these can take the work that may not. Among machines that the rule ranks
+   * equal (same CPU and memory) an image that is there already goes before the name.
    */
   public Machine firstFit(JobRequest spec, Predicate<Machine> allowed) {
+    if (spec.spot()) {
+      Machine machine = walk(spec, allowed.and(Machine::spot));
+      if (machine != null) {
+        return machine;
+      }
+    }
+    return walk(spec, allowed.and(machine -> !machine.spot()));
+  }
+
+  private Machine walk(JobRequest spec, Predicate<Machine> allowed) {
     Machine best = null;
-    int bestMerit = -1;
     for (Machine machine : machines) {
       if (best != null && !ranksEqual(best, machine)) {
         break;
       }
       if (machine.usable() && covers(machine, spec) && allowed.test(machine)) {
-        int merit = merit(machine, spec);
-        if (merit > bestMerit) {
+        if (machine.hasImage(spec.image())) {
+          return machine;
+        }
+        if (best == null) {
           best = machine;
-          bestMerit = merit;
         }
       }
     }
@@ -71,10 +81,6 @@
         && one.type().memoryGb() == other.type().memoryGb();
   }
 
-  private static int merit(Machine machine, JobRequest spec) {
-    return (machine.spot() ? 2 : 0) + (machine.hasImage(spec.image()) ? 1 : 0);
-  }
-
   private static boolean covers(Machine machine, JobRequest spec) {
     return spec.cpus() <= machine.freeCpus() + EPS
         && spec.memoryGb() <= machine.freeMemoryGb() + EPS
