Image fetches are checked like the paper's bandwidth; renting counts boot and fetch

Cause: services piled onto the largest machines, whose fetch line then was busy for a minute. Ruled out: late commands (starts go out within 0.1 s of placement in the logs).

--- a/src/main/java/org/dewreach/controller/Dispatcher.java
+++ b/src/main/java/org/dewreach/controller/Dispatcher.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Predicate;
+import org.dewreach.config.Settings;
 import org.dewreach.job.Job;
 import org.dewreach.machine.Machine;
 import org.dewreach.placement.QueueOrder;
@@ -34,12 +35,18 @@
 
   private final Books books;
   private final QueueOrder order;
+  private final Map<String, Long> startWithin = new HashMap<>();
   private double headroom;
   private double ordinaryFree;
 
-  Dispatcher(Books books, QueueOrder order) {
+  Dispatcher(Books books, QueueOrder order, List<Settings.Objective> objectives) {
     this.books = books;
     this.order = order;
+    for (Settings.Objective objective : objectives) {
+      if (objective.kind().equals("wait") && objective.lane() != null) {
+        startWithin.merge(objective.lane(), objective.withinMicros(), Math::min);
+      }
+    }
   }
 
   /**
@@ -166,10 +173,11 @@
       allowed = allowed.and(machine -> inZone(job, machine.zone()) < most);
     }
     List<Task> placed = new ArrayList<>();
+    long within = startWithin.getOrDefault(spec.lane(), 0L);
     boolean yields = spec.shape() != Shape.SERVICE && spec.spot();
     while (placed.size() < count) {
       int index = job.nextPending();
-      Machine machine = index < 0 ? null : books.list().firstFit(spec, allowed);
+      Machine machine = index < 0 ? null : books.list().firstFit(spec, allowed, within);
       if (machine == null) {
         break;
       }
--- a/src/main/java/org/dewreach/controller/ReportDesk.java
+++ b/src/main/java/org/dewreach/controller/ReportDesk.java
@@ -174,6 +174,9 @@
           case EXITED -> throw new IllegalArgumentException("exited tasks are not adopted");
         };
     books.bind(job, reported.name().index(), reported.attempt(), machine, phase, nowMicros);
+    if (phase != TaskPhase.PULLING) {
+      machine.fetched(job.spec());
+    }
   }
 
   private void follow(Task task, TaskState state, long nowMicros) {
--- a/src/main/java/org/dewreach/controller/Term.java
+++ b/src/main/java/org/dewreach/controller/Term.java
@@ -114,7 +114,8 @@
             number, books, recorder, cloud, catalog, settings, nowMicros, wallOffset);
     this.preemption = new Preemption(books);
     this.direct = new DirectOrders(number, calls, books, this::directReport);
-    this.dispatcher = new Dispatcher(books, new QueueOrder(settings.teams()));
+    this.dispatcher = 
+        new Dispatcher(books, new QueueOrder(settings.teams()), settings.objectives());
   }
 
   private void become(Phase next) {
--- a/src/main/java/org/dewreach/fleet/FleetPlanner.java
+++ b/src/main/java/org/dewreach/fleet/FleetPlanner.java
@@ -23,6 +23,9 @@
   private static final long LONGEST_PAUSE = 40_000_000;
   private static final int MOST_AT_ONCE = 20;
 
+  /** Time over which what a machine costs until it is of use is spread. Ours. */
+  private static final double USED_S = 120;
+
   /** A kind of machine that can be asked for. */
   public record Kind(MachineType type, String zone, boolean spot) {
     public double price() {
@@ -117,13 +120,17 @@
     List<Kind> order = new ArrayList<>();
     // Needs of the same size are one: many small jobs fill a large machine as well as a large one.
     Map<String, Need> groups = new LinkedHashMap<>();
+    Map<String, Map<String, Double>> images = new HashMap<>();
     for (Need need : needs) {
+      String likeness = likeness(need.spec());
       groups.merge(
-          likeness(need.spec()),
-          need,
-          (one, other) -> new Need(one.spec(), one.tasks() + other.tasks()));
+          likeness, need, (one, other) -> new Need(one.spec(), one.tasks() + other.tasks()));
+      images
+          .computeIfAbsent(likeness, key -> new HashMap<>())
+          .put(need.spec().image(), need.spec().imageGb());
     }
     for (Need need : groups.values()) {
+      Map<String, Double> itsImages = images.get(likeness(need.spec()));
       int left = need.tasks();
       for (Room room : rooms) {
         if (left > 0 && permitted(need.spec(), room.kind)) {
@@ -131,7 +138,7 @@
         }
       }
       while (left > 0) {
-        Kind kind = cheapest(need.spec(), left, catalog, ordinaryForAll, nowMicros);
+        Kind kind = cheapest(need.spec(), left, itsImages, catalog, ordinaryForAll, nowMicros);
         if (kind == null) {
           break;
         }
@@ -171,9 +178,14 @@
   private Kind cheapest(
       JobRequest spec,
       int tasks,
+      Map<String, Double> images,
       List<MachineType> catalog,
       boolean ordinaryForAll,
       long nowMicros) {
+    double allGb = 0;
+    for (double gb : images.values()) {
+      allGb += gb;
+    }
     Kind best = null;
     double bestCost = Double.POSITIVE_INFINITY;
     for (MachineType type : catalog) {
@@ -188,7 +200,12 @@
               || spec.spot() && !spot && !ordinaryForAll) {
             continue;
           }
-          double cost = kind.price() / Math.min(tasks, new Room(kind).take(spec, tasks));
+          int slots = new Room(kind).take(spec, tasks);
+          // Until it has booted and fetched its images, a machine is paid for and of no use.
+          double gb = allGb / images.size() * Math.min(slots, images.size());
+          double fetchS = type.fetchGbPerS() > 0 ? gb / type.fetchGbPerS() : 0;
+          double idle = 1 + (type.bootMicros() / 1e6 + fetchS) / USED_S;
+          double cost = kind.price() * idle / slots;
           if (cost < bestCost - EPS) {
             best = kind;
             bestCost = cost;
--- a/src/main/java/org/dewreach/machine/Machine.java
+++ b/src/main/java/org/dewreach/machine/Machine.java
@@ -13,13 +13,16 @@
 
 /** A machine, with the tasks that are bound to it. */
 public final class Machine {
+  /** An image that a task needed here. */
+  private record Image(double gb, boolean fetched) {}
+
   private final String name;
   private final MachineType type;
   private final String zone;
   private final boolean spot;
   private final Map<TaskName, Task> tasks = new LinkedHashMap<>();
   private final Set<String> erredJobs = new HashSet<>();
-  private final Map<String, Double> images = new LinkedHashMap<>();
+  private final Map<String, Image> images = new LinkedHashMap<>();
   private final boolean commandedBefore;
   private MachinePhase phase;
   private String address;
@@ -243,17 +246,52 @@
     return images.containsKey(image);
   }
 
+  /**
+   * Time until a task's image would be here, with the images that are still to be fetched sharing
+   * the machine's rate.
+   */
+  public long fetchMicros(JobRequest spec) {
+    Image known = images.get(spec.image());
+    if (known != null && known.fetched()) {
+      return 0;
+    }
+    double gb = known == null ? spec.imageGb() : 0;
+    for (Image image : images.values()) {
+      gb += image.fetched() ? 0 : image.gb();
+    }
+    return type.fetchGbPerS() > 0 ? Math.round(gb / type.fetchGbPerS() * 1e6) : 0;
+  }
+
+  /** A task runs, so its image is here. */
+  public void fetched(JobRequest spec) {
+    images.put(spec.image(), new Image(spec.imageGb(), true));
+  }
+
   /** A task needs the image here; the machine keeps the most recently used ones. */
   private void useImage(JobRequest spec) {
-    images.remove(spec.image());
-    images.put(spec.image(), spec.imageGb());
+    Image known = images.remove(spec.image());
+    images.put(spec.image(), known != null ? known : new Image(spec.imageGb(), false));
     double sum = 0;
-    for (double gb : images.values()) {
-      sum += gb;
+    for (Image image : images.values()) {
+      sum += image.gb();
     }
     while (sum > type.cacheGb() && images.size() > 1) {
-      sum -= images.remove(images.keySet().iterator().next());
+      sum -= images.remove(images.keySet().iterator().next()).gb();
+    }
+  }
+
+  /** A fetch that no task waits for any more is given up. */
+  private void dropFetch(String image) {
+    Image known = images.get(image);
+    if (known == null || known.fetched()) {
+      return;
+    }
+    for (Task task : tasks.values()) {
+      if (task.spec().image().equals(image)) {
+        return;
+      }
     }
+    images.remove(image);
   }
 
   /** Jobs whose tasks failed here since a task last completed here. */
@@ -286,6 +324,7 @@
     usedCpus -= task.spec().cpus();
     usedGpus -= task.spec().gpus();
     usedMemoryGb -= task.spec().memoryGb();
+    dropFetch(task.spec().image());
     if (tasks.isEmpty()) {
       // Sums of decimal amounts keep a rest; an empty machine is free in full.
       usedCpus = 0;
--- a/src/main/java/org/dewreach/placement/SortFirstFit.java
+++ b/src/main/java/org/dewreach/placement/SortFirstFit.java
@@ -58,6 +58,24 @@
     return walk(spec, allowed.and(machine -> !machine.spot()));
   }
 
+  /**
+   * As {@link #firstFit(JobRequest, Predicate)}, for work that is to start within some time. The
+   * paper checks the bandwidth left to a server; here it is the rate at which images are fetched:
+   * a machine whose fetches would take too long is passed over while another one can start the task
+   * in time, or in two or four times that.
+   */
+  public Machine firstFit(JobRequest spec, Predicate<Machine> allowed, long withinMicros) {
+    for (long within = withinMicros; within <= 4 * withinMicros && within > 0; within *= 2) {
+      long limit = within;
+      Machine machine =
+          firstFit(spec, allowed.and(candidate -> candidate.fetchMicros(spec) <= limit));
+      if (machine != null) {
+        return machine;
+      }
+    }
+    return firstFit(spec, allowed);
+  }
+
   private Machine walk(JobRequest spec, Predicate<Machine> allowed) {
     Machine best = null;
     for (Machine machine : machines) {
--- a/src/main/java/org/dewreach/task/Task.java
+++ b/src/main/java/org/dewreach/task/Task.java
@@ -40,6 +40,7 @@
     }
     if (next == TaskPhase.RUNNING) {
       startedAt = nowMicros;
+      machine.fetched(job.spec());
     }
     phase = next;
     phaseSince = nowMicros;
