Jobs that can still be in time go first, least work first

Cause: under bursts, age order made every job late by a little. Ruled out: room (all CPUs in use). Conclusion: kept; it stays within the order by urgency and guarantee, before age.

--- a/src/main/java/org/dewreach/controller/Dispatcher.java
+++ b/src/main/java/org/dewreach/controller/Dispatcher.java
@@ -35,11 +35,14 @@
 
   private final Books books;
   private final QueueOrder order;
+  private final long wallOffset;
   private final Map<String, Long> startWithin = new HashMap<>();
   private double headroom;
   private double ordinaryFree;
 
-  Dispatcher(Books books, QueueOrder order, List<Settings.Objective> objectives) {
+  Dispatcher(
+      Books books, QueueOrder order, List<Settings.Objective> objectives, long wallOffset) {
+    this.wallOffset = wallOffset;
     this.books = books;
     this.order = order;
     for (Settings.Objective objective : objectives) {
@@ -70,7 +73,7 @@
         }
       }
     }
-    for (Job job : order.order(books.jobs().values())) {
+    for (Job job : order.order(books.jobs().values(), nowMicros + wallOffset)) {
       if (job.startable() && !reserved.containsKey(job) && (recovered || job.ofThisTerm())) {
         queue.add(job);
       }
--- a/src/main/java/org/dewreach/controller/Term.java
+++ b/src/main/java/org/dewreach/controller/Term.java
@@ -115,7 +115,11 @@
     this.preemption = new Preemption(books);
     this.direct = new DirectOrders(number, calls, books, this::directReport);
     this.dispatcher = 
-        new Dispatcher(books, new QueueOrder(settings.teams()), settings.objectives());
+        new Dispatcher(
+            books,
+            new QueueOrder(settings.teams(), settings.objectives()),
+            settings.objectives(),
+            wallOffset);
   }
 
   private void become(Phase next) {
--- a/src/main/java/org/dewreach/placement/QueueOrder.java
+++ b/src/main/java/org/dewreach/placement/QueueOrder.java
@@ -10,29 +10,76 @@
 import java.util.Set;
 import org.dewreach.config.Settings;
 import org.dewreach.job.Job;
+import org.dewreach.wire.JobRequest;
 
-/** The order in which waiting jobs are placed: urgency, then guarantee, then age. */
+/**
+ * The order in which waiting jobs are placed: urgency, then guarantee, then what can still be in
+ * time, then age.
+ *
+ * <p>When there is more work than room, going by age alone makes every job late by a little. So a
+ * job that can still be done in time goes before one that cannot, and of those the one with the
+ * least work left goes first: the most jobs are then in time.
+ */
 public final class QueueOrder {
   private static final Comparator<Job> BY_AGE =
       Comparator.comparingLong(Job::acceptedWallMicros).thenComparing(Job::id);
 
+  /** From placement to running: the command, and often an image. Ours. */
+  private static final long START_MICROS = 4_000_000;
+
+  /** A job that misses its time by less than half of it is still better than a later one. Ours. */
+  private static final double GRACE = 1.5;
+
   private final Map<String, Settings.Team> teams;
+  private final Map<String, Long> finishWithin = new HashMap<>();
 
-  public QueueOrder(Map<String, Settings.Team> teams) {
+  public QueueOrder(Map<String, Settings.Team> teams, List<Settings.Objective> objectives) {
     this.teams = teams;
+    for (Settings.Objective objective : objectives) {
+      if (objective.kind().equals("finished") && objective.lane() != null) {
+        finishWithin.merge(objective.lane(), objective.withinMicros(), Math::min);
+      }
+    }
   }
 
+  private record Place(int tier, double work) {}
+
   /** The jobs in the order of placement. */
-  public List<Job> order(Collection<Job> jobs) {
+  public List<Job> order(Collection<Job> jobs, long wallMicros) {
     Set<Job> guaranteed = guaranteed(jobs);
+    Map<Job, Place> places = new HashMap<>();
+    for (Job job : jobs) {
+      places.put(job, place(job, wallMicros));
+    }
     List<Job> order = new ArrayList<>(jobs);
     order.sort(
         Comparator.comparing((Job job) -> job.spec().urgency())
             .thenComparing(job -> guaranteed.contains(job) ? 0 : 1)
+            .thenComparing(job -> places.get(job).tier())
+            .thenComparing(job -> places.get(job).work())
             .thenComparing(BY_AGE));
     return order;
   }
 
+  private Place place(Job job, long wallMicros) {
+    long allowed = allowedMicros(job.spec());
+    if (allowed < 0) {
+      return new Place(0, 0);
+    }
+    JobRequest spec = job.spec();
+    long left = spec.expectedMicros() + START_MICROS;
+    long due = job.acceptedWallMicros() + allowed;
+    long graceDue = job.acceptedWallMicros() + Math.round(allowed * GRACE);
+    int tier = wallMicros + left <= due ? 0 : wallMicros + left <= graceDue ? 1 : 2;
+    double work = (double) job.pending() * spec.cpus() * spec.expectedMicros();
+    return new Place(tier, work);
+  }
+
+  /** When the job is to be done, from its acceptance, by its owner or its class; or -1. */
+  public long allowedMicros(JobRequest spec) {
+    return spec.dueMicros() >= 0 ? spec.dueMicros() : finishWithin.getOrDefault(spec.lane(), -1L);
+  }
+
   /** Jobs that fit into their team's guarantee together with its earlier unfinished jobs. */
   public Set<Job> guaranteed(Collection<Job> jobs) {
     List<Job> byAge = new ArrayList<>(jobs);
