--- a/src/main/java/org/dewreach/controller/FleetDesk.java
+++ b/src/main/java/org/dewreach/controller/FleetDesk.java
@@ -18,7 +18,10 @@
 import org.dewreach.job.Job;
 import org.dewreach.machine.Machine;
 import org.dewreach.machine.MachinePhase;
+import org.dewreach.placement.QueueOrder;
+import org.dewreach.placement.SortFirstFit;
 import org.dewreach.task.Task;
+import org.dewreach.task.TaskPhase;
 import org.dewreach.wire.JobRequest;
 import org.dewreach.wire.ListedMachine;
 import org.dewreach.wire.MachineType;
@@ -46,10 +49,20 @@
   private static final long ROOMY_FOR = 10_000_000;
 
   /** A machine with more of its CPUs taken by services would only run empty after long. Ours. */
-  private static final double MOST_SERVED = 0.25;
+  private static final double MOST_SERVED = 0.4;
+
+  private static final int MOST_RETIRED = 3;
+
+  /** Share of the replicas' time that moving them may take. Ours. */
+  private static final double MOVED_SHARE = 0.002;
+
+  private static final double MOST_MOVES_SAVED = 2;
+
+  /** A service that began lately is not moved. Ours. */
+  private static final long SETTLED = 45_000_000;
 
   /** Work for spot machines gets ordinary ones too when it would wait longer than this. Ours. */
-  private static final double LONG_BACKLOG_S = 30;
+  private static final double LONG_WAIT_S = 60;
 
   private static final int MOST_RETURNED = 100;
   private static final int MOST_REMEMBERED = 4_000;
@@ -75,6 +88,7 @@
   private final CloudService cloud;
   private final CatalogKeeper catalog;
   private final Settings settings;
+  private final QueueOrder order;
   private final FleetPlanner planner = new FleetPlanner();
   private final Map<String, Asked> asked = new LinkedHashMap<>();
   private final Set<String> goneNames = new LinkedHashSet<>();
@@ -83,6 +97,7 @@
   private final long wallOffset;
   private long lastRequest;
   private long roomySince;
+  private double moveBudget;
   private long nextRound;
   private long nextList;
   private boolean listing;
@@ -105,6 +120,7 @@
     this.cloud = cloud;
     this.catalog = catalog;
     this.settings = settings;
+    this.order = new QueueOrder(settings.teams(), settings.objectives());
     this.startedAt = nowMicros;
     this.wallOffset = wallOffset;
   }
@@ -133,6 +149,7 @@
     watchSilent(nowMicros);
     drain(nowMicros);
     retire(nowMicros, waiting);
+    move(nowMicros);
     returnIdle(nowMicros);
     giveBack(nowMicros);
     if (mayRent) {
@@ -241,6 +258,25 @@
       }
       return;
     }
+    if (nowMicros - roomySince <= ROOMY_FOR) {
+      if (spareMachine(nowMicros) == null) {
+        roomySince = nowMicros;
+      }
+      return;
+    }
+    for (int i = 0; i < MOST_RETIRED; i++) {
+      Machine spare = spareMachine(nowMicros);
+      if (spare == null) {
+        break;
+      }
+      LOG.info("machine {} is to run empty", spare.name());
+      spare.retiring(true);
+    }
+    roomySince = nowMicros - ROOMY_FOR / 2;
+  }
+
+  /** The dearest machine, among equals the last of the list, whose work has room elsewhere. */
+  private Machine spareMachine(long nowMicros) {
     double ordinary = 0;
     double spot = 0;
     for (Machine machine : books.list().machines()) {
@@ -269,20 +305,69 @@
               ? spot + ordinary - headroom >= capacity
               : ordinary - machine.freeCpus() - services >= headroom
                   && spot + ordinary - headroom >= capacity;
-      if (room && (best == null || pricePerCpu(machine) >= pricePerCpu(best) - 1e-9)
-          && services <= capacity * MOST_SERVED) {
+      if (room
+          && services <= capacity * MOST_SERVED
+          && (best == null || pricePerCpu(machine) >= pricePerCpu(best) - 1e-9)) {
         best = machine;
       }
     }
-    if (best == null) {
-      roomySince = nowMicros;
-    } else if (nowMicros - roomySince > ROOMY_FOR) {
-      LOG.info("machine {} is to run empty", best.name());
-      best.retiring(true);
-      roomySince = nowMicros - ROOMY_FOR / 2;
+    return best;
+  }
+
+  /**
+   * Moves services off machines that would otherwise be kept for one or two of them. Each move
+   * costs about a second of a replica's time, so only a small share of all replicas' time is spent.
+   */
+  private void move(long nowMicros) {
+    int replicas = 0;
+    for (Machine machine : books.machines().values()) {
+      for (Task task : machine.tasks()) {
+        replicas += task.spec().shape() == Shape.SERVICE ? 1 : 0;
+      }
+    }
+    moveBudget =
+        Math.min(MOST_MOVES_SAVED, moveBudget + replicas * MOVED_SHARE * ROUND_EVERY / 1e6);
+    for (Machine machine : books.machines().values()) {
+      if (moveBudget < 1) {
+        return;
+      }
+      if (!machine.retiring() || machine.phase() != MachinePhase.UP) {
+        continue;
+      }
+      Task movable = movable(machine, nowMicros);
+      if (movable != null) {
+        moveBudget -= 1;
+        books.stop(movable, "moved, so that its machine can be returned", nowMicros);
+        books.touch();
+      }
     }
   }
 
+  /** A service of a machine that has nothing else, and that could start at once elsewhere. */
+  private Task movable(Machine machine, long nowMicros) {
+    Task found = null;
+    for (Task task : machine.tasks()) {
+      boolean settled =
+          task.phase() == TaskPhase.RUNNING && nowMicros - task.startedAt() > SETTLED;
+      if (task.spec().shape() != Shape.SERVICE
+          || task.spec().tasks() > 1
+          || !settled) {
+        return null;
+      }
+      found = task;
+    }
+    if (found == null) {
+      return null;
+    }
+    JobRequest spec = found.spec();
+    Machine target =
+        books
+            .list()
+            .firstFit(
+                spec, other -> SortFirstFit.permitted(spec, other) && other.fetchMicros(spec) == 0);
+    return target == null ? null : found;
+  }
+
   private static double pricePerCpu(Machine machine) {
     MachineType type = machine.type();
     return (machine.spot() ? type.spotPrice() : type.price()) / Math.max(1, type.cpus());
@@ -372,13 +457,16 @@
       }
     }
     double backlog = 0;
+    double patience = 0;
     for (Dispatcher.Waiting item : waiting) {
       JobRequest spec = item.job().spec();
       if (spec.spot()) {
-        backlog += item.tasks() * spec.cpus() * (spec.expectedMicros() / 1e6 + 3);
+        double work = item.tasks() * spec.cpus() * (spec.expectedMicros() / 1e6 + 3);
+        backlog += work;
+        patience += work * patienceS(item.job(), nowMicros);
       }
     }
-    boolean longBacklog = backlog > batchCpus * LONG_BACKLOG_S;
+    boolean longBacklog = backlog > 0 && backlog > batchCpus * patience / backlog;
     List<Need> needs = new ArrayList<>();
     for (Dispatcher.Waiting item : waiting) {
       int tasks = worthRenting(item, nowMicros);
@@ -418,8 +506,9 @@
       return item.tasks();
     }
     long horizon = WORK_OFF;
-    if (spec.dueMicros() >= 0) {
-      long dueAt = job.acceptedWallMicros() - wallOffset + spec.dueMicros();
+    long allowed = order.allowedMicros(spec);
+    if (allowed >= 0) {
+      long dueAt = job.acceptedWallMicros() - wallOffset + allowed;
       horizon = Math.max(spec.expectedMicros(), (dueAt - nowMicros) / 2);
     }
     horizon = Math.max(horizon, 15_000_000);
@@ -428,6 +517,17 @@
     return Math.min(item.tasks(), Math.max(0, slots - job.bound().size()));
   }
 
+  /** How long work can wait for machines that are there: half of the time that it has left. */
+  private double patienceS(Job job, long nowMicros) {
+    long allowed = order.allowedMicros(job.spec());
+    if (allowed < 0) {
+      return LONG_WAIT_S;
+    }
+    long dueAt = job.acceptedWallMicros() - wallOffset + allowed;
+    double spare = (dueAt - nowMicros - job.spec().expectedMicros()) / 2e6;
+    return Math.max(10, Math.min(LONG_WAIT_S, spare));
+  }
+
   private void send(Asked request, long nowMicros) {
     Rental rental = request.rental;
     Kind kind = rental.kind();
