--- a/src/main/java/org/dewreach/leadership/Election.java
+++ b/src/main/java/org/dewreach/leadership/Election.java
@@ -30,11 +30,11 @@
   private static final Logger LOG = LoggerFactory.getLogger(Election.class);
 
   /** Length of the hold. Ours: short enough to take over well within a worker's lease. */
-  static final long HOLD_MICROS = 4_000_000;
+  static final long HOLD_MICROS = 2_600_000;
 
-  private static final long EXTEND_EVERY = 900_000;
-  private static final long EXTEND_TIMEOUT = 1_000_000;
-  private static final long EXTEND_RETRY = 200_000;
+  private static final long EXTEND_EVERY = 550_000;
+  private static final long EXTEND_TIMEOUT = 800_000;
+  private static final long EXTEND_RETRY = 150_000;
 
   /** Two clocks that drift by up to 0.05% each, doubled, and a little for timer steps. */
   private static final long AUTHORITY_MICROS = HOLD_MICROS - HOLD_MICROS / 500 - 30_000;
@@ -42,7 +42,7 @@
   private static final long WATCH_MS = 8_000;
 
   /** With less authority than this left, extensions are failing: promises are asked for. */
-  private static final long WORRIED_MICROS = 2_600_000;
+  private static final long WORRIED_MICROS = 1_500_000;
 
   private static final long ASK_EVERY = 400_000;
   private static final long ASK_TIMEOUT = 700_000;
