--- a/src/main/java/org/dewreach/controller/FleetDesk.java
+++ b/src/main/java/org/dewreach/controller/FleetDesk.java
@@ -37,7 +37,7 @@
   private static final long ROUND_EVERY = 1_000_000;
 
   /** A machine without tasks is kept this long. Ours; weighed against boot times. */
-  private static final long IDLE_KEPT = 12_000_000;
+  private static final long IDLE_KEPT = 25_000_000;
 
   /** A machine costs at least a minute, so returning it earlier saves nothing. */
   private static final long LEAST_PAID = 58_000_000;
@@ -46,7 +46,7 @@
   private static final long WORK_OFF = 60_000_000;
 
   /** Room has to be there this long before a machine is let run empty. Ours. */
-  private static final long ROOMY_FOR = 6_000_000;
+  private static final long ROOMY_FOR = 10_000_000;
 
   /** A machine with more of its CPUs taken by services would only run empty after long. Ours. */
   private static final double MOST_SERVED = 0.4;
