--- a/src/main/java/org/dewreach/leadership/Election.java
+++ b/src/main/java/org/dewreach/leadership/Election.java
@@ -94,6 +94,7 @@
   private long term;
   private long authorityUntil;
   private boolean extending;
+  private boolean failing;
   private long extendAt;
   private long lastContact = -1;
   private Promises promises;
@@ -394,6 +395,7 @@
   private void elected(long nowMicros, long stamp) {
     term = stamp;
     mayAct = false;
+    failing = false;
     promisedUntil.clear();
     leaderAbsent = false;
     leader = self;
@@ -420,12 +422,19 @@
           extending = false;
           if (status == 200) {
             lastContact = now;
+            if (failing) {
+              LOG.info("election: extensions succeed again");
+            }
+            failing = false;
             authorityUntil = Math.max(authorityUntil, sentAt + AUTHORITY_MICROS);
             extendAt = sentAt + EXTEND_EVERY;
           } else if (status == 404) {
             depose(now, "hold ended");
           } else {
-            LOG.info("election: extension answered {}", status);
+            if (!failing) {
+              LOG.info("election: extensions fail ({}); asking for promises soon", status);
+            }
+            failing = true;
             extendAt = now + EXTEND_RETRY;
           }
         });
--- a/src/main/java/org/dewreach/placement/QueueOrder.java
+++ b/src/main/java/org/dewreach/placement/QueueOrder.java
@@ -30,6 +30,9 @@
   /** A job that misses its time by less than half of it is still better than a later one. Ours. */
   private static final double GRACE = 1.5;
 
+  /** With less slack than this, a job goes before those that can still wait. Ours. */
+  private static final long PRESSING = 20_000_000;
+
   private final Map<String, Settings.Team> teams;
   private final Map<String, Long> finishWithin = new HashMap<>();
 
@@ -64,13 +67,14 @@
   private Place place(Job job, long wallMicros) {
     long allowed = allowedMicros(job.spec());
     if (allowed < 0) {
-      return new Place(0, 0);
+      return new Place(1, 0);
     }
     JobRequest spec = job.spec();
     long left = spec.expectedMicros() + START_MICROS;
     long due = job.acceptedWallMicros() + allowed;
     long graceDue = job.acceptedWallMicros() + Math.round(allowed * GRACE);
-    int tier = wallMicros + left <= due ? 0 : wallMicros + left <= graceDue ? 1 : 2;
+    long slack = due - wallMicros - left;
+    int tier = slack >= 0 ? (slack < PRESSING ? 0 : 1) : wallMicros + left <= graceDue ? 2 : 3;
     double work = (double) job.pending() * spec.cpus() * spec.expectedMicros();
     return new Place(tier, work);
   }
