--- a/src/main/java/org/dewreach/controller/FleetDesk.java
+++ b/src/main/java/org/dewreach/controller/FleetDesk.java
@@ -53,9 +53,6 @@
 
   private static final int MOST_RETIRED = 3;
 
-  /** Work that waits for less than this share of what it can wait needs no more machines. Ours. */
-  private static final double SHORT_WAIT_SHARE = 0.2;
-
   /** Share of the replicas' time that moving them may take. Ours. */
   private static final double MOVED_SHARE = 0.002;
 
@@ -250,14 +247,7 @@
    * for a while. The dearest goes first, among equals the last of the list, which fills last.
    */
   private void retire(long nowMicros, List<Dispatcher.Waiting> waiting) {
-    boolean others = false;
-    for (Dispatcher.Waiting item : waiting) {
-      others |= !item.job().spec().spot();
-    }
-    Backlog backlog = backlog(waiting, nowMicros);
-    // A burst that is worked off at once by what is there is no reason to keep more.
-    boolean needed = others || backlog.seconds() > SHORT_WAIT_SHARE * backlog.patienceS();
-    if (needed) {
+    if (!waiting.isEmpty()) {
       roomySince = nowMicros;
       for (Machine machine : books.machines().values()) {
         if (machine.retiring() && machine.phase() == MachinePhase.UP) {
@@ -453,8 +443,30 @@
     if (catalog.types().isEmpty() || asked.size() >= 6) {
       return;
     }
-    Backlog backlog = backlog(waiting, nowMicros);
-    boolean longBacklog = backlog.seconds() > backlog.patienceS();
+    double batchCpus = 0;
+    for (Machine machine : books.machines().values()) {
+      boolean counts =
+          machine.phase() == MachinePhase.UP || machine.phase() == MachinePhase.BOOTING;
+      if (counts && machine.spot()) {
+        batchCpus += machine.type().cpus();
+      } else if (counts) {
+        batchCpus += machine.freeCpus();
+        for (Task task : machine.tasks()) {
+          batchCpus += task.spec().spot() ? task.spec().cpus() : 0;
+        }
+      }
+    }
+    double backlog = 0;
+    double patience = 0;
+    for (Dispatcher.Waiting item : waiting) {
+      JobRequest spec = item.job().spec();
+      if (spec.spot()) {
+        double work = item.tasks() * spec.cpus() * (spec.expectedMicros() / 1e6 + 3);
+        backlog += work;
+        patience += work * patienceS(item.job(), nowMicros);
+      }
+    }
+    boolean longBacklog = backlog > 0 && backlog > batchCpus * patience / backlog;
     List<Need> needs = new ArrayList<>();
     for (Dispatcher.Waiting item : waiting) {
       int tasks = worthRenting(item, nowMicros);
@@ -505,43 +517,6 @@
     return Math.min(item.tasks(), Math.max(0, slots - job.bound().size()));
   }
 
-  /**
-   * The waiting work that may run on spot machines.
-   *
-   * @param seconds how long the machines that are there, or coming, would take for it
-   * @param patienceS how long it can wait, on average
-   */
-  private record Backlog(double seconds, double patienceS) {}
-
-  private Backlog backlog(List<Dispatcher.Waiting> waiting, long nowMicros) {
-    double cpus = 0;
-    for (Machine machine : books.machines().values()) {
-      boolean counts =
-          machine.phase() == MachinePhase.UP || machine.phase() == MachinePhase.BOOTING;
-      if (counts && machine.spot()) {
-        cpus += machine.type().cpus();
-      } else if (counts) {
-        cpus += machine.freeCpus();
-        for (Task task : machine.tasks()) {
-          cpus += task.spec().spot() ? task.spec().cpus() : 0;
-        }
-      }
-    }
-    double sum = 0;
-    double patience = 0;
-    for (Dispatcher.Waiting item : waiting) {
-      JobRequest spec = item.job().spec();
-      if (spec.spot()) {
-        double work = item.tasks() * spec.cpus() * (spec.expectedMicros() / 1e6 + 3);
-        sum += work;
-        patience += work * patienceS(item.job(), nowMicros);
-      }
-    }
-    return sum == 0
-        ? new Backlog(0, LONG_WAIT_S)
-        : new Backlog(cpus > 0 ? sum / cpus : Double.MAX_VALUE, patience / sum);
-  }
-
   /** How long work can wait for machines that are there: half of the time that it has left. */
   private double patienceS(Job job, long nowMicros) {
     long allowed = order.allowedMicros(job.spec());
