--- a/src/main/java/org/dewreach/controller/Dispatcher.java
+++ b/src/main/java/org/dewreach/controller/Dispatcher.java
@@ -98,7 +98,9 @@
       }
       int started = 0;
       if (placed < MOST_PLACED && !full.contains(likeness(job))) {
-        started = place(job, Math.min(room, MOST_PLACED - placed), nowMicros);
+        // A gang larger than a pass has to be placed in one all the same.
+        boolean gang = job.spec().shape() == Shape.GANG;
+        started = place(job, gang ? room : Math.min(room, MOST_PLACED - placed), nowMicros);
         placed += started;
       }
       if (started < room) {
@@ -131,7 +133,7 @@
     boolean whole =
         spec.shape() == Shape.GANG
             || spec.together() && spec.shape() == Shape.SERVICE && job.bound().isEmpty();
-    if (whole && room < wanted) {
+    if (whole && room < wanted || spec.shape() == Shape.GANG && !job.bound().isEmpty()) {
       return 0;
     }
     for (String zone : zones(job)) {
@@ -177,6 +179,8 @@
     }
     List<Task> placed = new ArrayList<>();
     long within = startWithin.getOrDefault(spec.lane(), 0L);
+    // The tasks of a gang find each other by their attempt: it is one for all of them.
+    long gangAttempt = spec.shape() == Shape.GANG ? books.nextAttempt() : 0;
     boolean yields = spec.shape() != Shape.SERVICE && spec.spot();
     while (placed.size() < count) {
       int index = job.nextPending();
@@ -190,8 +194,8 @@
         }
         ordinaryFree -= spec.cpus();
       }
-      placed.add(
-          books.bind(job, index, books.nextAttempt(), machine, TaskPhase.ASSIGNED, nowMicros));
+      long attempt = gangAttempt > 0 ? gangAttempt : books.nextAttempt();
+      placed.add(books.bind(job, index, attempt, machine, TaskPhase.ASSIGNED, nowMicros));
     }
     return placed;
   }
