--- a/src/main/java/org/dewreach/controller/FleetDesk.java
+++ b/src/main/java/org/dewreach/controller/FleetDesk.java
@@ -577,7 +577,7 @@
                 MachinePhase.BOOTING,
                 nowMicros);
         books.add(machine);
-        recorder.record(machine, nowMicros);
+        recorder.note(machine, nowMicros + wallOffset, nowMicros);
       }
     }
     LOG.info("rented {} of {} as {}", count, request.rental.count(), request.name);
@@ -644,7 +644,7 @@
               nowMicros);
       machine.knownSince(nowMicros - listed.ageMicros());
       books.add(machine);
-      recorder.record(machine, nowMicros);
+      recorder.note(machine, machine.knownSince() + wallOffset, nowMicros);
     }
     if (listed.failed() && machine.phase() != MachinePhase.RETURNING) {
       books.unbindAll(machine, "it failed", nowMicros);
--- a/src/main/java/org/dewreach/controller/Loader.java
+++ b/src/main/java/org/dewreach/controller/Loader.java
@@ -20,21 +20,30 @@
   private static final long RETRY = 200_000;
 
   private enum Phase {
-    MACHINES,
-    JOBS,
-    DONE
+    MACHINES(Keys.MACHINES),
+    RENTED(Keys.RENTED),
+    JOBS(Keys.JOBS),
+    DONE(null);
+
+    final String prefix;
+
+    Phase(String prefix) {
+      this.prefix = prefix;
+    }
   }
 
   private final StateService state;
   private final Books books;
   private final CatalogKeeper catalog;
+  private final long wallOffset;
   private Phase phase = Phase.MACHINES;
   private String after;
   private boolean reading;
   private long readAt;
   private boolean closed;
 
-  Loader(StateService state, Books books, CatalogKeeper catalog) {
+  Loader(StateService state, Books books, CatalogKeeper catalog, long wallOffset) {
+    this.wallOffset = wallOffset;
     this.state = state;
     this.books = books;
     this.catalog = catalog;
@@ -53,8 +62,7 @@
       return;
     }
     reading = true;
-    String prefix = phase == Phase.MACHINES ? Keys.MACHINES : Keys.JOBS;
-    state.range(prefix, after, PAGE, this::onPage);
+    state.range(phase.prefix, after, PAGE, this::onPage);
   }
 
   private void onPage(long nowMicros, int status, JsonNode body) {
@@ -69,8 +77,8 @@
     for (JsonNode entry : body.path("entries")) {
       String key = entry.path("path").asText();
       try {
-        if (phase == Phase.MACHINES) {
-          machine(key.substring(Keys.MACHINES.length()), entry.path("data"), nowMicros);
+        if (phase != Phase.JOBS) {
+          machine(key.substring(phase.prefix.length()), entry.path("data"), nowMicros);
         } else {
           job(entry);
         }
@@ -81,7 +89,7 @@
     }
     if (!body.path("more").asBoolean(false) || body.path("entries").isEmpty()) {
       after = null;
-      phase = phase == Phase.MACHINES ? Phase.JOBS : Phase.DONE;
+      phase = Phase.values()[phase.ordinal() + 1];
     }
     tick(nowMicros);
   }
@@ -93,6 +101,11 @@
       // Not rented any more: no room to offer, but its tasks are real.
       type = new MachineType(typeName, 0, 0, 0, 0, 0, 0, 0, 0, java.util.List.of());
     }
+    if (books.machines().containsKey(name)) {
+      // A late copy of the note; the machine was given commands since.
+      return;
+    }
+    boolean commanded = phase == Phase.MACHINES;
     Machine machine =
         new Machine(
             name,
@@ -100,9 +113,12 @@
             type,
             data.path("zone").asText(),
             data.path("spot").asBoolean(),
-            MachinePhase.UNHEARD,
+            commanded ? MachinePhase.UNHEARD : MachinePhase.BOOTING,
             nowMicros);
-    machine.recorded(true);
+    machine.recorded(commanded);
+    if (!commanded) {
+      machine.knownSince(Math.min(nowMicros, data.path("at").asLong() - wallOffset));
+    }
     books.add(machine);
   }
 
--- a/src/main/java/org/dewreach/controller/Recorder.java
+++ b/src/main/java/org/dewreach/controller/Recorder.java
@@ -1,5 +1,6 @@
 package org.dewreach.controller;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.List;
@@ -193,26 +194,43 @@
     }
   }
 
+  /**
+   * Notes a machine that was rented, so that a later leader waits for its boot.
+   *
+   * <p>Guards against a new leader taking machines that still boot for silent ones and returning
+   * them. The note has a key of its own: a late copy of it must not hide that the machine was given
+   * commands since.
+   */
+  void note(Machine machine, long wallMicros, long nowMicros) {
+    Change put =
+        new Change(Keys.rented(machine.name()), describe(machine).put("at", wallMicros));
+    queue.add(
+        nowMicros,
+        new Write(List.of(), List.of(put), false, (now, outcome, revision) -> {}));
+  }
+
+  private static ObjectNode describe(Machine machine) {
+    return CommitQueue.value()
+        .put("address", machine.address())
+        .put("type", machine.type().name())
+        .put("zone", machine.zone())
+        .put("spot", machine.spot());
+  }
+
   /** Records a machine, which has to be durable before its first command. */
   void record(Machine machine, long nowMicros) {
     if (machine.recorded() || machine.recording()) {
       return;
     }
-    Change put =
-        new Change(
-            Keys.machine(machine.name()),
-            CommitQueue.value()
-                .put("address", machine.address())
-                .put("type", machine.type().name())
-                .put("zone", machine.zone())
-                .put("spot", machine.spot()));
+    Change put = new Change(Keys.machine(machine.name()), describe(machine));
+    Change noteOver = new Change(Keys.rented(machine.name()), null);
     machine.recording(true);
     boolean taken =
         queue.add(
             nowMicros,
             new Write(
                 List.of(),
-                List.of(put),
+                List.of(put, noteOver),
                 true,
                 (now, outcome, revision) -> {
                   machine.recording(false);
@@ -225,10 +243,9 @@
 
   /** Forgets a machine that is gone. A record left behind costs a later leader only a wait. */
   void forget(Machine machine, long nowMicros) {
-    if (!machine.recorded() && !machine.recording()) {
-      return;
-    }
-    Change remove = new Change(Keys.machine(machine.name()), null);
+    boolean commanded = machine.recorded() || machine.recording();
+    Change remove =
+        new Change(commanded ? Keys.machine(machine.name()) : Keys.rented(machine.name()), null);
     if (!queue.add(
         nowMicros,
         new Write(List.of(), List.of(remove), false, (now, outcome, revision) -> {}))) {
--- a/src/main/java/org/dewreach/controller/Term.java
+++ b/src/main/java/org/dewreach/controller/Term.java
@@ -109,7 +109,7 @@
             new RateBudget(writes * 0.9, writes * 0.9),
             onBroken);
     this.recorder = new Recorder(queue, this);
-    this.loader = new Loader(state, books, catalog);
+    this.loader = new Loader(state, books, catalog, wallOffset);
     this.reports = new ReportDesk(number, books);
     this.users = new LeaderDesk(books, recorder, state, catalog, settings, wallOffset);
     this.fleet =
@@ -312,6 +312,7 @@
       calls.respond(requestId, 200, empty);
       return;
     }
+    recorder.record(machine, nowMicros);
     var response = reports.take(machine, report, true, nowMicros);
     machine.answered(nowMicros);
     calls.respond(requestId, 200, response);
@@ -360,7 +361,6 @@
             MachinePhase.BOOTING,
             nowMicros);
     books.add(machine);
-    recorder.record(machine, nowMicros);
     return machine;
   }
 
--- a/src/main/java/org/dewreach/store/Keys.java
+++ b/src/main/java/org/dewreach/store/Keys.java
@@ -14,6 +14,9 @@
   /** Machines that may have been given commands. */
   public static final String MACHINES = "dw/machine/";
 
+  /** Machines that were rented and not given commands yet. */
+  public static final String RENTED = "dw/rented/";
+
   private Keys() {}
 
   public static String job(String id) {
@@ -24,6 +27,10 @@
     return OVER + id;
   }
 
+  public static String rented(String name) {
+    return RENTED + name;
+  }
+
   public static String machine(String name) {
     return MACHINES + name;
   }
