--- a/src/main/java/org/dewreach/controller/DirectOrders.java
+++ b/src/main/java/org/dewreach/controller/DirectOrders.java
@@ -27,7 +27,8 @@
  * without an answer is repeated in report responses until the worker shows the attempt, so the late
  * copy finds the attempt known and has no effect. And an attempt that was ever started directly is
  * not cleared on its worker while the session lasts: a copy that arrives after its exit finds it
- * known as well. So that the reports stay small, only so many attempts of a session are started
+ * known as well. Nor is the task placed on that machine again in the session, since a new attempt
+ * could take the place of the old one there. So that the reports stay small, only so many attempts of a session are started
  * directly; the others wait for the report.
  */
 final class DirectOrders {
@@ -81,7 +82,7 @@
       if (task.phase() == TaskPhase.ASSIGNED && mayStartDirectly(machine, task)) {
         orders.add(new Order.Start(task.name(), task.attempt()));
         started.add(task);
-        machine.startedDirectly(task.attempt());
+        machine.startedDirectly(task.name(), task.attempt());
       } else if (task.phase() == TaskPhase.STOPPING
           && !task.haltSentDirectly()
           && task.spec().checkpointMicros() == 0) {
--- a/src/main/java/org/dewreach/controller/Dispatcher.java
+++ b/src/main/java/org/dewreach/controller/Dispatcher.java
@@ -18,6 +18,7 @@
 import org.dewreach.task.TaskPhase;
 import org.dewreach.wire.JobRequest;
 import org.dewreach.wire.Shape;
+import org.dewreach.wire.TaskName;
 
 /** Walks the queue and places what fits. A job that does not fit does not stop those behind it. */
 final class Dispatcher {
@@ -190,7 +191,12 @@
     boolean yields = spec.shape() != Shape.SERVICE && spec.spot();
     while (placed.size() < count) {
       int index = job.nextPending();
-      Machine machine = index < 0 ? null : books.list().firstFit(spec, allowed, within);
+      Machine machine = null;
+      if (index >= 0) {
+        TaskName name = new TaskName(job.id(), index);
+        machine =
+            books.list().firstFit(spec, allowed.and(m -> !m.hadDirectStart(name)), within);
+      }
       if (machine == null) {
         break;
       }
--- a/src/main/java/org/dewreach/controller/Preemption.java
+++ b/src/main/java/org/dewreach/controller/Preemption.java
@@ -14,6 +14,7 @@
 import org.dewreach.task.TaskPhase;
 import org.dewreach.wire.JobRequest;
 import org.dewreach.wire.Shape;
+import org.dewreach.wire.TaskName;
 
 /**
  * Makes room for more urgent work that fits nowhere by stopping less urgent tasks.
@@ -100,11 +101,14 @@
   /** Sets room for one task aside, choosing tasks to stop where it needs them. */
   private boolean find(Job job, Map<Machine, Room> rooms, Set<Task> chosen) {
     JobRequest spec = job.spec();
+    // Machines that placement would pass over must not lose tasks for nothing, pass after pass.
+    TaskName next = new TaskName(job.id(), Math.max(0, job.nextPending()));
     List<Machine> candidates = new ArrayList<>();
     for (Machine machine : books.list().machines()) {
       if (machine.usable()
           && SortFirstFit.permitted(spec, machine)
-          && !job.suspects().contains(machine.name())) {
+          && !job.suspects().contains(machine.name())
+          && !machine.hadDirectStart(next)) {
         Room room = rooms.computeIfAbsent(machine, Preemption::withFreed);
         if (room.covers(spec)) {
           room.take(spec);
--- a/src/main/java/org/dewreach/machine/Machine.java
+++ b/src/main/java/org/dewreach/machine/Machine.java
@@ -43,6 +43,7 @@
   private boolean everUp;
   private long refusedAt = Long.MIN_VALUE / 2;
   private final LongOpenHashSet directAttempts = new LongOpenHashSet();
+  private final Set<TaskName> directTasks = new HashSet<>();
   private boolean directInFlight;
   private long directAgainAt;
 
@@ -150,6 +151,7 @@
   public void heard(long reportSession, long reportSequence, long nowMicros) {
     if (reportSession != session) {
       directAttempts.clear();
+      directTasks.clear();
     }
     session = reportSession;
     sequence = reportSequence;
@@ -212,8 +214,19 @@
   }
 
   /** An attempt that its worker must not forget in this session. */
-  public void startedDirectly(long attempt) {
+  public void startedDirectly(TaskName task, long attempt) {
     directAttempts.add(attempt);
+    directTasks.add(task);
+  }
+
+  /**
+   * True if an attempt of the task was started directly in this session.
+   *
+   * <p>Guards against a late copy of that start: a later attempt here could take the place of the
+   * one that the worker still knows, and the copy would then run beside it elsewhere.
+   */
+  public boolean hadDirectStart(TaskName task) {
+    return directTasks.contains(task);
   }
 
   public boolean wasStartedDirectly(long attempt) {
