--- a/src/main/java/org/dewreach/controller/ReportDesk.java
+++ b/src/main/java/org/dewreach/controller/ReportDesk.java
@@ -38,6 +38,9 @@
   /** A machine on which tasks of this many jobs failed in a row is not given more. */
   private static final int MOST_ERRED_JOBS = 2;
 
+  /** Nor one on which this many tasks failed in a row of a job that completes them elsewhere. */
+  private static final int MOST_ERRORS = 3;
+
   private static final long GRACE_SLACK = 5_000_000;
 
   private final long term;
@@ -197,7 +200,7 @@
     switch (cause) {
       case DONE -> {
         books.markDone(job, task.index());
-        machine.erredJobs().clear();
+        machine.worked();
       }
       case ERROR -> {
         job.failedOn(machine.name(), nowMicros);
@@ -206,8 +209,13 @@
         if (job.suspects().size() <= 2) {
           machine.erredJobs().add(job.id());
         }
-        if (machine.erredJobs().size() >= MOST_ERRED_JOBS && !machine.setAside()) {
-          LOG.info("machine {} set aside: tasks of several jobs failed", machine.name());
+        machine.erred();
+        // One job's failures tell as much where its other tasks have completed elsewhere.
+        boolean faulty =
+            machine.erredJobs().size() >= MOST_ERRED_JOBS
+                || machine.errors() >= MOST_ERRORS && job.doneCount() > 0;
+        if (faulty && !machine.setAside()) {
+          LOG.info("machine {} set aside: {} tasks failed", machine.name(), machine.errors());
           machine.setAside(true);
         }
       }
--- a/src/main/java/org/dewreach/machine/Machine.java
+++ b/src/main/java/org/dewreach/machine/Machine.java
@@ -38,6 +38,7 @@
   private double usedCpus;
   private double usedGpus;
   private double usedMemoryGb;
+  private int errors;
   private boolean setAside;
   private boolean retiring;
   private boolean everUp;
@@ -312,6 +313,21 @@
     return erredJobs;
   }
 
+  /** Tasks that failed here since one last completed. */
+  public int errors() {
+    return errors;
+  }
+
+  public void erred() {
+    errors++;
+  }
+
+  /** A task completed here: what failed before says nothing about the machine. */
+  public void worked() {
+    errors = 0;
+    erredJobs.clear();
+  }
+
   public Collection<Task> tasks() {
     return tasks.values();
   }
--- /dev/null
+++ b/src/test/java/org/dewreach/placement/QueueOrderTest.java
@@ -0,0 +1,64 @@
+package org.dewreach.placement;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.dewreach.config.Settings;
+import org.dewreach.job.Job;
+import org.dewreach.job.JobPhase;
+import org.dewreach.wire.JobRequest;
+import org.dewreach.wire.Shape;
+import org.dewreach.wire.Urgency;
+import org.junit.jupiter.api.Test;
+
+class QueueOrderTest {
+  private static final long S = 1_000_000;
+
+  private final QueueOrder order =
+      new QueueOrder(
+          Map.of(
+              "red", new Settings.Team("red", 10, 100, 0, 0),
+              "none", new Settings.Team("none", 0, 100, 0, 0)),
+          List.of(new Settings.Objective("finished", "scan", 100 * S, 0.9, 0)));
+
+  private static Job job(
+      String id, String team, Urgency urgency, int tasks, long dueS, long acceptedS) {
+    JobRequest spec =
+        new JobRequest(
+            id, "lane", team, Shape.SWEEP, urgency, tasks, 1, 0, 1, "i", 1, null, null, false,
+            false, true, 10 * S, 0, 0, dueS < 0 ? -1 : dueS * S);
+    return new Job(spec, acceptedS * S, true, JobPhase.LIVE);
+  }
+
+  @Test
+  void urgencyThenGuaranteeThenAge() {
+    Job old = job("req-1", "none", Urgency.NORMAL, 5, -1, 0);
+    Job young = job("req-2", "none", Urgency.NORMAL, 5, -1, 1);
+    Job guaranteed = job("req-3", "red", Urgency.NORMAL, 5, -1, 2);
+    Job urgent = job("req-4", "none", Urgency.HIGH, 5, -1, 3);
+    assertEquals(
+        List.of(urgent, guaranteed, old, young),
+        order.order(List.of(young, old, guaranteed, urgent), 5 * S));
+  }
+
+  /** Guards against a burst making every job late by a little. */
+  @Test
+  void whatCanBeInTimeGoesBeforeWhatCannot() {
+    Job lost = job("req-1", "none", Urgency.NORMAL, 1, 20, 0);
+    Job large = job("req-2", "none", Urgency.NORMAL, 50, 200, 1);
+    Job small = job("req-3", "none", Urgency.NORMAL, 5, 200, 2);
+    Job pressing = job("req-4", "none", Urgency.NORMAL, 60, 80, 3);
+    assertEquals(
+        List.of(pressing, small, large, lost),
+        order.order(List.of(lost, large, small, pressing), 60 * S));
+  }
+
+  @Test
+  void theGuaranteeCountsEarlierUnfinishedJobs() {
+    Job first = job("req-1", "red", Urgency.NORMAL, 6, -1, 0);
+    Job second = job("req-2", "red", Urgency.NORMAL, 6, -1, 1);
+    assertEquals(Set.of(first), order.guaranteed(List.of(second, first)));
+  }
+}
