--- a/src/main/java/org/dewreach/controller/Core.java
+++ b/src/main/java/org/dewreach/controller/Core.java
@@ -91,6 +91,7 @@
     now = Math.max(now, nowMicros);
     if (firstEventAt < 0) {
       firstEventAt = now;
+      nextSummary = now + SUMMARY_EVERY;
     }
     direct.now(now);
     if (event instanceof Event.Request request) {
--- a/src/main/java/org/dewreach/controller/FleetDesk.java
+++ b/src/main/java/org/dewreach/controller/FleetDesk.java
@@ -460,7 +460,7 @@
     for (Dispatcher.Waiting item : waiting) {
       int tasks = worthRenting(item, nowMicros);
       if (tasks > 0) {
-        needs.add(new Need(item.job().spec(), tasks));
+        needs.add(new Need(item.job().spec(), tasks, slackMicros(item.job(), nowMicros)));
       }
     }
     if (needs.isEmpty()) {
@@ -506,6 +506,12 @@
     return Math.min(item.tasks(), Math.max(0, slots - job.bound().size()));
   }
 
+  private long slackMicros(Job job, long nowMicros) {
+    long allowed = order.allowedMicros(job.spec());
+    long dueAt = job.acceptedWallMicros() - wallOffset + allowed;
+    return allowed < 0 ? Long.MAX_VALUE / 4 : dueAt - nowMicros - job.spec().expectedMicros();
+  }
+
   /** How long work can wait for machines that are there: half of the time that it has left. */
   private double patienceS(Job job, long nowMicros) {
     long allowed = order.allowedMicros(job.spec());
--- a/src/main/java/org/dewreach/fleet/FleetPlanner.java
+++ b/src/main/java/org/dewreach/fleet/FleetPlanner.java
@@ -26,6 +26,9 @@
   /** Time over which what a machine costs until it is of use is spread. Ours. */
   private static final double USED_S = 120;
 
+  /** What a machine that comes too late for the tasks counts for, against one in time. Ours. */
+  private static final double LATE_COST = 2;
+
   /** A kind of machine that can be asked for. */
   public record Kind(MachineType type, String zone, boolean spot) {
     public double price() {
@@ -33,8 +36,19 @@
     }
   }
 
-  /** A need: so many tasks of a job's size. */
-  public record Need(JobRequest spec, int tasks) {}
+  /**
+   * A need: so many tasks of a job's size.
+   *
+   * @param slackMicros how long their start can wait without making them late
+   */
+  public record Need(JobRequest spec, int tasks, long slackMicros) {
+    private Need and(Need other) {
+      int sum = tasks + other.tasks;
+      double mean =
+          ((double) slackMicros * tasks + (double) other.slackMicros * other.tasks) / sum;
+      return new Need(spec, sum, Math.round(mean));
+    }
+  }
 
   /** A request to the cloud. */
   public record Rental(Kind kind, int count) {}
@@ -123,8 +137,7 @@
     Map<String, Map<String, Double>> images = new HashMap<>();
     for (Need need : needs) {
       String likeness = likeness(need.spec());
-      groups.merge(
-          likeness, need, (one, other) -> new Need(one.spec(), one.tasks() + other.tasks()));
+      groups.merge(likeness, need, Need::and);
       images
           .computeIfAbsent(likeness, key -> new HashMap<>())
           .put(need.spec().image(), need.spec().imageGb());
@@ -138,7 +151,7 @@
         }
       }
       while (left > 0) {
-        Kind kind = cheapest(need.spec(), left, itsImages, catalog, ordinaryForAll, nowMicros);
+        Kind kind = cheapest(need, left, itsImages, catalog, ordinaryForAll, nowMicros);
         if (kind == null) {
           break;
         }
@@ -176,12 +189,13 @@
   }
 
   private Kind cheapest(
-      JobRequest spec,
+      Need need,
       int tasks,
       Map<String, Double> images,
       List<MachineType> catalog,
       boolean ordinaryForAll,
       long nowMicros) {
+    JobRequest spec = need.spec();
     double allGb = 0;
     for (double gb : images.values()) {
       allGb += gb;
@@ -204,8 +218,9 @@
           // Until it has booted and fetched its images, a machine is paid for and of no use.
           double gb = allGb / images.size() * Math.min(slots, images.size());
           double fetchS = type.fetchGbPerS() > 0 ? gb / type.fetchGbPerS() : 0;
+          boolean late = type.bootMicros() + fetchS * 1e6 > need.slackMicros();
           double idle = 1 + (type.bootMicros() / 1e6 + fetchS) / USED_S;
-          double cost = kind.price() * idle / slots;
+          double cost = kind.price() * idle * (late ? LATE_COST : 1) / slots;
           if (cost < bestCost - EPS) {
             best = kind;
             bestCost = cost;
