--- a/src/main/java/org/dewreach/controller/Books.java
+++ b/src/main/java/org/dewreach/controller/Books.java
@@ -154,7 +154,7 @@
         LOG.debug("task {} to stop on {}: {}", task.name(), task.machine().name(), why);
         task.become(TaskPhase.STOPPING, nowMicros);
       }
-      case STOPPING, EXITED, GONE -> {
+      case STOPPING, GONE -> {
         // on its way already
       }
     }
--- a/src/main/java/org/dewreach/controller/DirectDesk.java
+++ b/src/main/java/org/dewreach/controller/DirectDesk.java
@@ -1,6 +1,7 @@
 package org.dewreach.controller;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import java.util.BitSet;
 import java.util.List;
 import org.dewreach.config.Settings;
 import org.dewreach.job.Admission;
@@ -32,6 +33,7 @@
   private final String boot;
   private final long wallOffset;
   private long lastWrite;
+  private long now;
 
   DirectDesk(
       StateService state,
@@ -153,7 +155,7 @@
   private void create(JobRequest spec, Answer answer) {
     String id = spec.id();
     // The time of acceptance is only used for ordering; a node's wall clock is good enough.
-    var data = JobRecord.encode(spec, wallMicros(), false, new java.util.BitSet());
+    var data = JobRecord.encode(spec, wallMicros(), false, new BitSet());
     data.put(CommitQueue.MARK, mark());
     state.commit(
         List.of(
@@ -196,8 +198,6 @@
         });
   }
 
-  private long now;
-
   void now(long nowMicros) {
     now = nowMicros;
   }
--- a/src/main/java/org/dewreach/controller/Dispatcher.java
+++ b/src/main/java/org/dewreach/controller/Dispatcher.java
@@ -125,11 +125,11 @@
   /** Jobs with the same likeness fit on the same machines. */
   private static String likeness(Job job) {
     JobRequest spec = job.spec();
-    if (spec.together() || spec.scatter() || spec.shape() == Shape.GANG || !job.suspects().isEmpty()) {
+    boolean special = spec.together() || spec.scatter() || spec.shape() == Shape.GANG;
+    if (special || !job.suspects().isEmpty()) {
       return job.id();
     }
-    return spec.cpus() + "|" + spec.gpus() + "|" + spec.memoryGb() + "|" + spec.types() + "|"
-        + spec.zone() + "|" + spec.spot();
+    return SortFirstFit.likeness(spec);
   }
 
   private int place(Job job, int room, long nowMicros) {
--- a/src/main/java/org/dewreach/controller/LeaderDesk.java
+++ b/src/main/java/org/dewreach/controller/LeaderDesk.java
@@ -12,6 +12,7 @@
 import org.dewreach.job.JobPhase;
 import org.dewreach.store.Keys;
 import org.dewreach.store.StateService;
+import org.dewreach.wire.Codec;
 import org.dewreach.wire.JobRequest;
 import org.dewreach.wire.MalformedException;
 import org.dewreach.wire.Standing;
@@ -130,7 +131,7 @@
         found -> {
           if (found == null) {
             LOG.info("submission of {} answered {}: {}", id, status, why);
-            answer.send(status, org.dewreach.wire.Codec.map().put("error", why), 0);
+            answer.send(status, Codec.map().put("error", why), 0);
           } else {
             answer.send(200, found.standing().answer(id), 0);
           }
--- a/src/main/java/org/dewreach/controller/Loader.java
+++ b/src/main/java/org/dewreach/controller/Loader.java
@@ -1,6 +1,8 @@
 package org.dewreach.controller;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import java.util.BitSet;
+import java.util.List;
 import org.dewreach.job.Job;
 import org.dewreach.job.JobPhase;
 import org.dewreach.job.JobRecord;
@@ -99,7 +101,7 @@
     MachineType type = catalog.type(typeName);
     if (type == null) {
       // Not rented any more: no room to offer, but its tasks are real.
-      type = new MachineType(typeName, 0, 0, 0, 0, 0, 0, 0, 0, java.util.List.of());
+      type = new MachineType(typeName, 0, 0, 0, 0, 0, 0, 0, 0, List.of());
     }
     if (books.machines().containsKey(name)) {
       // A late copy of the note; the machine was given commands since.
@@ -132,7 +134,7 @@
             saved.withdrawn() ? JobPhase.WITHDRAWN : JobPhase.LIVE);
     job.stamp(entry.path("stamp").asLong());
     job.done().or(saved.done());
-    job.durable((java.util.BitSet) saved.done().clone());
+    job.durable((BitSet) saved.done().clone());
     books.jobs().put(job.id(), job);
   }
 }
--- a/src/main/java/org/dewreach/controller/ReportDesk.java
+++ b/src/main/java/org/dewreach/controller/ReportDesk.java
@@ -86,7 +86,7 @@
         for (Order order : group) {
           if (orders.size() < MOST_ORDERS) {
             LOG.debug("order to {}: {}", machine.name(), order);
-            sent(machine, order, report, nowMicros);
+            sent(machine, order, nowMicros);
             orders.add(order.toNode());
           }
         }
@@ -95,13 +95,12 @@
     return response;
   }
 
-  private void sent(Machine machine, Order order, WorkerReport report, long nowMicros) {
+  private void sent(Machine machine, Order order, long nowMicros) {
     if (order instanceof Order.Start) {
       Task task = machine.task(order.task());
       if (task.phase() == TaskPhase.ASSIGNED) {
         task.become(TaskPhase.STARTING, nowMicros);
       }
-      task.sentInAnswerTo(report.sequence());
     }
   }
 
@@ -265,7 +264,7 @@
           books.unbind(task, "stopped before it started", nowMicros);
         }
       }
-      case EXITED, GONE -> {
+      case GONE -> {
         // nothing to do
       }
     }
--- a/src/main/java/org/dewreach/fleet/FleetPlanner.java
+++ b/src/main/java/org/dewreach/fleet/FleetPlanner.java
@@ -10,6 +10,7 @@
 import org.dewreach.job.Admission;
 import org.dewreach.machine.Machine;
 import org.dewreach.machine.MachinePhase;
+import org.dewreach.placement.SortFirstFit;
 import org.dewreach.wire.JobRequest;
 import org.dewreach.wire.MachineType;
 
@@ -136,14 +137,14 @@
     Map<String, Need> groups = new LinkedHashMap<>();
     Map<String, Map<String, Double>> images = new HashMap<>();
     for (Need need : needs) {
-      String likeness = likeness(need.spec());
+      String likeness = SortFirstFit.likeness(need.spec());
       groups.merge(likeness, need, Need::and);
       images
           .computeIfAbsent(likeness, key -> new HashMap<>())
           .put(need.spec().image(), need.spec().imageGb());
     }
     for (Need need : groups.values()) {
-      Map<String, Double> itsImages = images.get(likeness(need.spec()));
+      Map<String, Double> itsImages = images.get(SortFirstFit.likeness(need.spec()));
       int left = need.tasks();
       for (Room room : rooms) {
         if (left > 0 && permitted(need.spec(), room.kind)) {
@@ -170,11 +171,6 @@
     return rentals;
   }
 
-  private static String likeness(JobRequest spec) {
-    return spec.cpus() + "|" + spec.gpus() + "|" + spec.memoryGb() + "|" + spec.types() + "|"
-        + spec.zone() + "|" + spec.spot();
-  }
-
   /** A machine that will soon give room. One long overdue is not counted on. */
   private static boolean comes(Machine machine, long nowMicros) {
     return (machine.phase() == MachinePhase.BOOTING || machine.phase() == MachinePhase.GREETED)
@@ -183,9 +179,7 @@
   }
 
   private static boolean permitted(JobRequest spec, Kind kind) {
-    return (spec.types() == null || spec.types().contains(kind.type().name()))
-        && (spec.zone() == null || spec.zone().equals(kind.zone()))
-        && (spec.spot() || !kind.spot());
+    return SortFirstFit.permitted(spec, kind.type().name(), kind.zone(), kind.spot());
   }
 
   private Kind cheapest(
--- a/src/main/java/org/dewreach/placement/SortFirstFit.java
+++ b/src/main/java/org/dewreach/placement/SortFirstFit.java
@@ -107,8 +107,19 @@
 
   /** True if the job's owner allows the machine. */
   public static boolean permitted(JobRequest spec, Machine machine) {
-    return (spec.types() == null || spec.types().contains(machine.type().name()))
-        && (spec.zone() == null || spec.zone().equals(machine.zone()))
-        && (spec.spot() || !machine.spot());
+    return permitted(spec, machine.type().name(), machine.zone(), machine.spot());
+  }
+
+  /** True if the job's owner allows machines of this type, zone and kind. */
+  public static boolean permitted(JobRequest spec, String type, String zone, boolean spot) {
+    return (spec.types() == null || spec.types().contains(type))
+        && (spec.zone() == null || spec.zone().equals(zone))
+        && (spec.spot() || !spot);
+  }
+
+  /** Tasks with the same likeness fit on the same machines. */
+  public static String likeness(JobRequest spec) {
+    return spec.cpus() + "|" + spec.gpus() + "|" + spec.memoryGb() + "|" + spec.types() + "|"
+        + spec.zone() + "|" + spec.spot();
   }
 }
--- a/src/main/java/org/dewreach/task/Task.java
+++ b/src/main/java/org/dewreach/task/Task.java
@@ -15,7 +15,6 @@
   private long phaseSince;
   private long boundAt;
   private long startedAt;
-  private long sentSequence = -1;
   private DirectStart direct = DirectStart.NONE;
   private boolean haltSentDirectly;
 
@@ -83,15 +82,6 @@
     return startedAt;
   }
 
-  /** Sequence number of the report that the start was last sent in answer to, or -1. */
-  public long sentSequence() {
-    return sentSequence;
-  }
-
-  public void sentInAnswerTo(long sequence) {
-    sentSequence = sequence;
-  }
-
   /** True if a direct start is on its way, or was lost: its absence in a report proves nothing. */
   public boolean mayStartLate() {
     return direct == DirectStart.SENT || direct == DirectStart.LOST;
--- a/src/main/java/org/dewreach/task/TaskPhase.java
+++ b/src/main/java/org/dewreach/task/TaskPhase.java
@@ -12,8 +12,6 @@
   RUNNING,
   /** The task is to be stopped, or saves because it was told to stop. */
   STOPPING,
-  /** The task exited on its machine; its record there is still to be cleared. */
-  EXITED,
   /** Proven gone from the machine; the record is dropped. */
   GONE
 }
