One Room for what is reckoned apart from the books; pending tasks and free CPUs asked in one place

Renting and preemption each had their own sums of free CPU, memory and GPUs, with a third copy inside preemption; free CPUs were summed in two places; the least bound urgency was looked for once per waiting job instead of once per pass. Unseen tasks of earlier terms are counted by Job.pending, as elsewhere: the sum it replaces came out too low where a task that is done was still bound.

--- a/src/main/java/org/dewreach/controller/Books.java
+++ b/src/main/java/org/dewreach/controller/Books.java
@@ -56,11 +56,11 @@
     return services;
   }
 
-  /** CPUs that ordinary machines have free for new tasks. */
-  double ordinaryFreeCpus() {
+  /** CPUs that spot machines, or ordinary ones, have free for new tasks. */
+  double freeCpus(boolean spot) {
     double free = 0;
     for (Machine machine : list.machines()) {
-      if (!machine.spot() && machine.usable()) {
+      if (machine.spot() == spot && machine.usable()) {
         free += machine.freeCpus();
       }
     }
--- a/src/main/java/org/dewreach/controller/CatalogKeeper.java
+++ b/src/main/java/org/dewreach/controller/CatalogKeeper.java
@@ -69,7 +69,7 @@
           (now, status, body) -> {
             asking = false;
             if (status == 200) {
-              take(body.path("data"), now);
+              take(body.path("data"));
             } else if (status != 404) {
               triedStore = false;
             }
@@ -82,7 +82,7 @@
         nowMicros,
         (now, status, body) -> {
           asking = false;
-          if (status == 200 && take(body, now)) {
+          if (status == 200 && take(body)) {
             fromCloud = true;
             nextAsk = now + REFRESH;
           } else {
@@ -91,7 +91,7 @@
         });
   }
 
-  private boolean take(JsonNode body, long nowMicros) {
+  private boolean take(JsonNode body) {
     try {
       types = MachineType.parseCatalog(body);
       return true;
--- a/src/main/java/org/dewreach/controller/Dispatcher.java
+++ b/src/main/java/org/dewreach/controller/Dispatcher.java
@@ -73,7 +73,7 @@
     for (Job job : books.jobs().values()) {
       if (!recovered && !job.ofThisTerm()) {
         // It may run unseen: nothing of it is started, and all of it counts.
-        int unseen = job.spec().tasks() - job.doneCount() - job.bound().size();
+        int unseen = job.pending();
         if (unseen > 0) {
           books.quotas().add(job.spec(), unseen);
           reserved.put(job, unseen);
@@ -81,7 +81,7 @@
       }
     }
     for (Job job : order.order(books.jobs().values(), nowMicros + wallOffset)) {
-      if (job.startable() && !reserved.containsKey(job) && (recovered || job.ofThisTerm())) {
+      if (job.startable() && (recovered || job.ofThisTerm())) {
         queue.add(job);
       }
     }
@@ -92,7 +92,7 @@
     for (Job job : queue) {
       if (!measured && job.spec().spot()) {
         // Services come first in the queue, so what they take is gone from this already.
-        ordinaryFree = books.ordinaryFreeCpus();
+        ordinaryFree = books.freeCpus(false);
         measured = true;
       }
       int pending = job.pending();
--- a/src/main/java/org/dewreach/controller/FleetDesk.java
+++ b/src/main/java/org/dewreach/controller/FleetDesk.java
@@ -232,7 +232,7 @@
   }
 
   /**
-   * Lets one machine at a time run empty when the others have had room enough for all of its tasks
+   * Lets a few machines at a time run empty when the others have had room enough for their tasks
    * for a while. The dearest goes first, among equals the last of the list, which fills last.
    */
   private void retire(long nowMicros, List<Dispatcher.Waiting> waiting) {
@@ -266,17 +266,8 @@
 
   /** The dearest machine, among equals the last of the list, whose work has room elsewhere. */
   private Machine spareMachine(long nowMicros) {
-    double ordinary = 0;
-    double spot = 0;
-    for (Machine machine : books.list().machines()) {
-      if (machine.usable()) {
-        if (machine.spot()) {
-          spot += machine.freeCpus();
-        } else {
-          ordinary += machine.freeCpus();
-        }
-      }
-    }
+    double ordinary = books.freeCpus(false);
+    double spot = books.freeCpus(true);
     double headroom = books.services().headroomCpus(bootMicros(), nowMicros);
     Machine best = null;
     for (Machine machine : books.list().machines()) {
--- a/src/main/java/org/dewreach/controller/Preemption.java
+++ b/src/main/java/org/dewreach/controller/Preemption.java
@@ -9,12 +9,14 @@
 import java.util.Set;
 import org.dewreach.job.Job;
 import org.dewreach.machine.Machine;
+import org.dewreach.placement.Room;
 import org.dewreach.placement.SortFirstFit;
 import org.dewreach.task.Task;
 import org.dewreach.task.TaskPhase;
 import org.dewreach.wire.JobRequest;
 import org.dewreach.wire.Shape;
 import org.dewreach.wire.TaskName;
+import org.dewreach.wire.Urgency;
 
 /**
  * Makes room for more urgent work that fits nowhere by stopping less urgent tasks.
@@ -23,42 +25,9 @@
  * that one need does not stop tasks twice.
  */
 final class Preemption {
-  private static final double EPS = 1e-9;
-
   /** Bounds what one pass may stop; the next pass goes on. */
   private static final int MOST_STOPPED = 24;
 
-  /** Room that a machine has or will have. */
-  private static final class Room {
-    double cpus;
-    double gpus;
-    double memoryGb;
-
-    Room(Machine machine) {
-      cpus = machine.freeCpus();
-      gpus = machine.freeGpus();
-      memoryGb = machine.freeMemoryGb();
-    }
-
-    void add(JobRequest spec) {
-      cpus += spec.cpus();
-      gpus += spec.gpus();
-      memoryGb += spec.memoryGb();
-    }
-
-    boolean covers(JobRequest spec) {
-      return spec.cpus() <= cpus + EPS
-          && spec.gpus() <= gpus + EPS
-          && spec.memoryGb() <= memoryGb + EPS;
-    }
-
-    void take(JobRequest spec) {
-      cpus -= spec.cpus();
-      gpus -= spec.gpus();
-      memoryGb -= spec.memoryGb();
-    }
-  }
-
   private final Books books;
 
   Preemption(Books books) {
@@ -66,13 +35,17 @@
   }
 
   void makeRoom(List<Dispatcher.Waiting> waiting, long nowMicros) {
+    if (waiting.isEmpty()) {
+      return;
+    }
+    Urgency least = leastBound();
     Map<Machine, Room> rooms = new HashMap<>();
     Set<Task> chosen = new HashSet<>();
     for (Dispatcher.Waiting item : waiting) {
       JobRequest spec = item.job().spec();
       boolean alone =
           spec.shape() != Shape.GANG && !spec.together() && !spec.scatter();
-      if (!alone || !hasLessUrgent(spec)) {
+      if (!alone || least == null || !spec.urgency().above(least)) {
         continue;
       }
       for (int i = 0; i < item.tasks() && chosen.size() < MOST_STOPPED; i++) {
@@ -89,13 +62,15 @@
     }
   }
 
-  private boolean hasLessUrgent(JobRequest spec) {
+  /** The least urgency that has tasks on machines, or null. */
+  private Urgency leastBound() {
+    Urgency least = null;
     for (Job job : books.jobs().values()) {
-      if (spec.urgency().above(job.spec().urgency()) && !job.bound().isEmpty()) {
-        return true;
+      if (!job.bound().isEmpty() && (least == null || least.above(job.spec().urgency()))) {
+        least = job.spec().urgency();
       }
     }
-    return false;
+    return least;
   }
 
   /** Sets room for one task aside, choosing tasks to stop where it needs them. */
@@ -131,7 +106,7 @@
   }
 
   private static Room withFreed(Machine machine) {
-    Room room = new Room(machine);
+    Room room = Room.free(machine);
     for (Task task : machine.tasks()) {
       if (task.phase() == TaskPhase.STOPPING) {
         room.add(task.spec());
@@ -152,18 +127,12 @@
       }
     }
     less.sort(Comparator.comparingLong(Task::boundAt).reversed());
-    double cpus = room.cpus;
-    double gpus = room.gpus;
-    double memoryGb = room.memoryGb;
+    Room freed = room.copy();
     List<Task> victims = new ArrayList<>();
     for (Task task : less) {
       victims.add(task);
-      cpus += task.spec().cpus();
-      gpus += task.spec().gpus();
-      memoryGb += task.spec().memoryGb();
-      if (spec.cpus() <= cpus + EPS
-          && spec.gpus() <= gpus + EPS
-          && spec.memoryGb() <= memoryGb + EPS) {
+      freed.add(task.spec());
+      if (freed.covers(spec)) {
         return victims;
       }
     }
--- a/src/main/java/org/dewreach/fleet/FleetPlanner.java
+++ b/src/main/java/org/dewreach/fleet/FleetPlanner.java
@@ -10,6 +10,7 @@
 import org.dewreach.job.Admission;
 import org.dewreach.machine.Machine;
 import org.dewreach.machine.MachinePhase;
+import org.dewreach.placement.Room;
 import org.dewreach.placement.SortFirstFit;
 import org.dewreach.wire.JobRequest;
 import org.dewreach.wire.MachineType;
@@ -54,31 +55,10 @@
   /** A request to the cloud. */
   public record Rental(Kind kind, int count) {}
 
-  private static final class Room {
-    final Kind kind;
-    double cpus;
-    double gpus;
-    double memoryGb;
-
-    Room(Kind kind) {
-      this.kind = kind;
-      this.cpus = kind.type().cpus();
-      this.gpus = kind.type().gpus();
-      this.memoryGb = kind.type().memoryGb();
-    }
-
-    int take(JobRequest spec, int most) {
-      int count = 0;
-      while (count < most
-          && spec.cpus() <= cpus + EPS
-          && spec.gpus() <= gpus + EPS
-          && spec.memoryGb() <= memoryGb + EPS) {
-        cpus -= spec.cpus();
-        gpus -= spec.gpus();
-        memoryGb -= spec.memoryGb();
-        count++;
-      }
-      return count;
+  /** A machine to come, with the room that is left on it. */
+  private record Coming(Kind kind, Room room) {
+    Coming(Kind kind) {
+      this(kind, Room.of(kind.type()));
     }
   }
 
@@ -120,15 +100,15 @@
       List<MachineType> catalog,
       boolean ordinaryForAll,
       long nowMicros) {
-    List<Room> rooms = new ArrayList<>();
+    List<Coming> rooms = new ArrayList<>();
     for (Machine machine : machines) {
       if (comes(machine, nowMicros)) {
-        rooms.add(new Room(new Kind(machine.type(), machine.zone(), machine.spot())));
+        rooms.add(new Coming(new Kind(machine.type(), machine.zone(), machine.spot())));
       }
     }
-    askedFor.forEach(kind -> rooms.add(new Room(kind)));
+    askedFor.forEach(kind -> rooms.add(new Coming(kind)));
     rooms.sort(
-        Comparator.comparingDouble((Room r) -> r.kind.type().cpus())
+        Comparator.comparingDouble((Coming r) -> r.kind.type().cpus())
             .thenComparingDouble(r -> r.kind.type().memoryGb())
             .reversed());
     Map<Kind, Integer> wanted = new HashMap<>();
@@ -146,9 +126,9 @@
     for (Need need : groups.values()) {
       Map<String, Double> itsImages = images.get(SortFirstFit.likeness(need.spec()));
       int left = need.tasks();
-      for (Room room : rooms) {
-        if (left > 0 && permitted(need.spec(), room.kind)) {
-          left -= room.take(need.spec(), left);
+      for (Coming coming : rooms) {
+        if (left > 0 && permitted(need.spec(), coming.kind)) {
+          left -= coming.room.take(need.spec(), left);
         }
       }
       while (left > 0) {
@@ -156,9 +136,9 @@
         if (kind == null) {
           break;
         }
-        Room room = new Room(kind);
-        left -= room.take(need.spec(), left);
-        rooms.add(room);
+        Coming coming = new Coming(kind);
+        left -= coming.room.take(need.spec(), left);
+        rooms.add(coming);
         if (wanted.merge(kind, 1, Integer::sum) == 1) {
           order.add(kind);
         }
@@ -208,7 +188,7 @@
               || spec.spot() && !spot && !ordinaryForAll) {
             continue;
           }
-          int slots = new Room(kind).take(spec, tasks);
+          int slots = Room.of(type).take(spec, tasks);
           // Until it has booted and fetched its images, a machine is paid for and of no use.
           double gb = allGb / images.size() * Math.min(slots, images.size());
           double fetchS = type.fetchGbPerS() > 0 ? gb / type.fetchGbPerS() : 0;
--- /dev/null
+++ b/src/main/java/org/dewreach/placement/Room.java
@@ -0,0 +1,62 @@
+package org.dewreach.placement;
+
+import org.dewreach.machine.Machine;
+import org.dewreach.wire.JobRequest;
+import org.dewreach.wire.MachineType;
+
+/** Room for tasks, reckoned with apart from the books: of machines to come, or to be freed. */
+public final class Room {
+  private static final double EPS = 1e-9;
+
+  private double cpus;
+  private double gpus;
+  private double memoryGb;
+
+  private Room(double cpus, double gpus, double memoryGb) {
+    this.cpus = cpus;
+    this.gpus = gpus;
+    this.memoryGb = memoryGb;
+  }
+
+  /** What an empty machine of the type has. */
+  public static Room of(MachineType type) {
+    return new Room(type.cpus(), type.gpus(), type.memoryGb());
+  }
+
+  /** What a machine has free. */
+  public static Room free(Machine machine) {
+    return new Room(machine.freeCpus(), machine.freeGpus(), machine.freeMemoryGb());
+  }
+
+  public Room copy() {
+    return new Room(cpus, gpus, memoryGb);
+  }
+
+  public boolean covers(JobRequest spec) {
+    return spec.cpus() <= cpus + EPS
+        && spec.gpus() <= gpus + EPS
+        && spec.memoryGb() <= memoryGb + EPS;
+  }
+
+  public void add(JobRequest spec) {
+    cpus += spec.cpus();
+    gpus += spec.gpus();
+    memoryGb += spec.memoryGb();
+  }
+
+  public void take(JobRequest spec) {
+    cpus -= spec.cpus();
+    gpus -= spec.gpus();
+    memoryGb -= spec.memoryGb();
+  }
+
+  /** Takes room for as many tasks as fit, at most the number given, and tells how many. */
+  public int take(JobRequest spec, int most) {
+    int count = 0;
+    while (count < most && covers(spec)) {
+      take(spec);
+      count++;
+    }
+    return count;
+  }
+}
