--- /dev/null
+++ b/src/main/java/org/dewreach/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The command line. */
+package org.dewreach.cli;
--- /dev/null
+++ b/src/main/java/org/dewreach/config/Settings.java
@@ -0,0 +1,53 @@
+package org.dewreach.config;
+
+import java.util.List;
+import java.util.Map;
+
+/** The settings of one controller. */
+public record Settings(
+    String name,
+    String zone,
+    Address clientListen,
+    Address internalListen,
+    List<Member> members,
+    Address cloud,
+    Address state,
+    List<String> zones,
+    long timeBoundMicros,
+    Map<String, Team> teams,
+    List<Objective> objectives,
+    Workers workers,
+    StateLimits stateLimits,
+    CloudLimits cloudLimits,
+    Limits limits) {
+
+  /** An IP address with a port. */
+  public record Address(String host, int port) {
+    @Override
+    public String toString() {
+      return host + ":" + port;
+    }
+  }
+
+  /** Another controller. */
+  public record Member(String name, String zone, Address address) {}
+
+  /** A team's guarantee and limit; infinite where the file says "none" (0). */
+  public record Team(
+      String name, double cpus, double cpusMax, double gpus, double gpusMax) {}
+
+  /** An aim as the file repeats it; fields that its kind lacks are 0 or null. */
+  public record Objective(String kind, String lane, long withinMicros, double share, double times) {}
+
+  /** Times that concern the workers. */
+  public record Workers(long reportMicros, long leaseMicros, long cancelMicros) {}
+
+  /** Limits of the state service. */
+  public record StateLimits(double rps, double writeRps, int valueBytes, int txnOps) {}
+
+  /** Limits of the cloud. */
+  public record CloudLimits(double rps, long listLagMicros) {}
+
+  /** Limits of the machine that the controller runs on. */
+  public record Limits(double cpuShare, double ramMb, int maxConnections) {}
+}
--- /dev/null
+++ b/src/main/java/org/dewreach/config/SettingsException.java
@@ -0,0 +1,10 @@
+package org.dewreach.config;
+
+/** A settings file that cannot be used; the message names the field. */
+public final class SettingsException extends Exception {
+  private static final long serialVersionUID = 1L;
+
+  public SettingsException(String message) {
+    super(message);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/dewreach/config/package-info.java
@@ -0,0 +1,2 @@
+/** The platform's settings file, read and checked whole before anything starts. */
+package org.dewreach.config;
--- /dev/null
+++ b/src/main/java/org/dewreach/controller/Answer.java
@@ -0,0 +1,14 @@
+package org.dewreach.controller;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+/** Where the answer to a user's request goes, whichever node took the request. */
+@FunctionalInterface
+interface Answer {
+  void send(int status, JsonNode body, int retryAfterS);
+
+  /** Tells the user to come back. */
+  default void later() {
+    send(503, null, 1);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/dewreach/controller/Books.java
@@ -0,0 +1,143 @@
+package org.dewreach.controller;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.dewreach.config.Settings;
+import org.dewreach.job.Job;
+import org.dewreach.machine.Machine;
+import org.dewreach.machine.MachinePhase;
+import org.dewreach.placement.Quotas;
+import org.dewreach.placement.SortFirstFit;
+import org.dewreach.task.Task;
+import org.dewreach.task.TaskPhase;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The leader's record of one term: jobs, machines and which task is bound where. */
+final class Books {
+  private static final Logger LOG = LoggerFactory.getLogger(Books.class);
+
+  private final long term;
+  private final Map<String, Job> jobs = new LinkedHashMap<>();
+  private final Map<String, Machine> machines = new LinkedHashMap<>();
+  private final SortFirstFit list = new SortFirstFit();
+  private final Quotas quotas;
+  private long lastAttempt;
+  private boolean changed = true;
+
+  Books(long term, Map<String, Settings.Team> teams) {
+    this.term = term;
+    this.quotas = new Quotas(teams);
+  }
+
+  Map<String, Job> jobs() {
+    return jobs;
+  }
+
+  Map<String, Machine> machines() {
+    return machines;
+  }
+
+  SortFirstFit list() {
+    return list;
+  }
+
+  Quotas quotas() {
+    return quotas;
+  }
+
+  /** Room or demand changed: placement should look again. */
+  void touch() {
+    changed = true;
+  }
+
+  boolean takeChanged() {
+    boolean was = changed;
+    changed = false;
+    return was;
+  }
+
+  /** Never the same again: the term is part of it, and a term has one leader. */
+  long nextAttempt() {
+    return (term << 24) + ++lastAttempt;
+  }
+
+  void add(Machine machine) {
+    machines.put(machine.name(), machine);
+    list.add(machine);
+    changed = true;
+  }
+
+  /** Binds a task to a machine; from here on it counts as being there. */
+  Task bind(Job job, int index, long attempt, Machine machine, TaskPhase phase, long nowMicros) {
+    Task task = new Task(job, index, attempt, machine, phase, nowMicros);
+    if (job.bound().put(index, task) != null) {
+      throw new IllegalStateException(task.name() + " is bound already");
+    }
+    machine.bind(task);
+    quotas.add(job.spec(), 1);
+    LOG.debug("task {} attempt {} bound to {} as {}", task.name(), attempt, machine.name(), phase);
+    return task;
+  }
+
+  /** The task is proven gone from its machine. */
+  void unbind(Task task, String why, long nowMicros) {
+    LOG.debug(
+        "task {} attempt {} gone from {}: {}",
+        task.name(),
+        task.attempt(),
+        task.machine().name(),
+        why);
+    task.become(TaskPhase.GONE, nowMicros);
+    task.machine().unbind(task, nowMicros);
+    Job job = task.job();
+    job.bound().remove(task.index());
+    job.rewind(task.index());
+    quotas.add(job.spec(), -1);
+    changed = true;
+  }
+
+  /** Everything that was bound to the machine is proven gone. */
+  void unbindAll(Machine machine, String why, long nowMicros) {
+    List<Task> tasks = new ArrayList<>(machine.tasks());
+    if (!tasks.isEmpty()) {
+      LOG.info("machine {}: {} tasks lost: {}", machine.name(), tasks.size(), why);
+    }
+    tasks.forEach(task -> unbind(task, why, nowMicros));
+  }
+
+  /** The machine is gone for sure, with everything on it. */
+  void gone(Machine machine, String why, long nowMicros) {
+    unbindAll(machine, why, nowMicros);
+    LOG.info("machine {} is gone: {}", machine.name(), why);
+    machine.become(MachinePhase.GONE, nowMicros);
+    machines.remove(machine.name());
+    list.remove(machine);
+    changed = true;
+  }
+
+  /** A task has completed, wherever that was. */
+  void markDone(Job job, int index) {
+    if (index < job.spec().tasks() && !job.done().get(index)) {
+      job.done().set(index);
+      job.succeeded();
+      changed = true;
+    }
+  }
+
+  /** Asks for a task to be stopped. A start that was never sent is simply taken back. */
+  void stop(Task task, String why, long nowMicros) {
+    switch (task.phase()) {
+      case ASSIGNED -> unbind(task, why, nowMicros);
+      case STARTING, PULLING, RUNNING -> {
+        LOG.debug("task {} to stop on {}: {}", task.name(), task.machine().name(), why);
+        task.become(TaskPhase.STOPPING, nowMicros);
+      }
+      case STOPPING, EXITED, GONE -> {
+        // on its way already
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/dewreach/controller/CatalogKeeper.java
@@ -0,0 +1,103 @@
+package org.dewreach.controller;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.List;
+import org.dewreach.cloud.CloudService;
+import org.dewreach.store.Keys;
+import org.dewreach.store.StateService;
+import org.dewreach.wire.MachineType;
+import org.dewreach.wire.MalformedException;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The machine types. The leader asks the cloud and leaves a copy in the state service, so that a
+ * node that starts while the cloud is down can still judge submissions.
+ */
+final class CatalogKeeper {
+  private static final Logger LOG = LoggerFactory.getLogger(CatalogKeeper.class);
+  private static final long REFRESH = 60_000_000;
+  private static final long RETRY = 2_000_000;
+
+  private final StateService state;
+  private final CloudService cloud;
+  private List<MachineType> types = List.of();
+  private boolean asking;
+  private boolean triedStore;
+  private boolean fromCloud;
+  private long nextAsk;
+
+  CatalogKeeper(StateService state, CloudService cloud) {
+    this.state = state;
+    this.cloud = cloud;
+  }
+
+  List<MachineType> types() {
+    return types;
+  }
+
+  /** The type with the name, or null. */
+  MachineType type(String name) {
+    for (MachineType type : types) {
+      if (type.name().equals(name)) {
+        return type;
+      }
+    }
+    return null;
+  }
+
+  boolean known() {
+    return !types.isEmpty();
+  }
+
+  /** True once after the cloud told of types that the copy in the state service lacks. */
+  boolean takeFromCloud() {
+    boolean was = fromCloud;
+    fromCloud = false;
+    return was;
+  }
+
+  void tick(long nowMicros, boolean leading) {
+    if (asking || nowMicros < nextAsk || known() && !leading) {
+      return;
+    }
+    asking = true;
+    if (!known() && !triedStore) {
+      triedStore = true;
+      state.get(
+          Keys.CATALOG,
+          (now, status, body) -> {
+            asking = false;
+            if (status == 200) {
+              take(body.path("data"), now);
+            } else if (status != 404) {
+              triedStore = false;
+            }
+            nextAsk = now + (status == 200 && !leading ? REFRESH : status == 404 ? 0 : 500_000);
+          });
+      return;
+    }
+    triedStore = false;
+    cloud.catalog(
+        nowMicros,
+        (now, status, body) -> {
+          asking = false;
+          if (status == 200 && take(body, now)) {
+            fromCloud = true;
+            nextAsk = now + REFRESH;
+          } else {
+            nextAsk = now + RETRY;
+          }
+        });
+  }
+
+  private boolean take(JsonNode body, long nowMicros) {
+    try {
+      types = MachineType.parseCatalog(body);
+      return true;
+    } catch (MalformedException e) {
+      LOG.error("catalog not understood: {}", e.getMessage());
+      return false;
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/dewreach/controller/Core.java
@@ -0,0 +1,318 @@
+package org.dewreach.controller;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.List;
+import java.util.random.RandomGenerator;
+import org.dewreach.cloud.CloudService;
+import org.dewreach.config.Settings;
+import org.dewreach.leadership.Election;
+import org.dewreach.peer.Forwarded;
+import org.dewreach.port.Calls;
+import org.dewreach.port.Effect;
+import org.dewreach.port.Event;
+import org.dewreach.port.Target;
+import org.dewreach.store.StateService;
+import org.dewreach.wire.Codec;
+import org.dewreach.wire.JobRequest;
+import org.dewreach.wire.MalformedException;
+import org.dewreach.wire.WorkerReport;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** One controller: routes events to the election, to the term it leads, or to the leader. */
+public final class Core implements Election.Listener {
+  private static final Logger LOG = LoggerFactory.getLogger(Core.class);
+  private static final long FORWARD_TIMEOUT = 2_500_000;
+
+  /** User requests in progress beyond this are told to come back. */
+  private static final int MOST_USER_REQUESTS = 300;
+
+  private static final int BUSY_RETRY_S = 2;
+
+  /** Longer than a watch of the leader key stays open without an answer. */
+  private static final long STATE_SILENT = 10_000_000;
+
+  private final Settings settings;
+  private final Calls calls = new Calls();
+  private final StateService state = new StateService(calls);
+  private final CloudService cloud;
+  private final CatalogKeeper catalog;
+  private final Election election;
+  private final DirectDesk direct;
+  private final long wallOffset;
+  private Term term;
+  private long now;
+  private int userRequests;
+  private boolean ready;
+  private long askPeersAt;
+  private int nextPeer;
+  private long firstEventAt = -1;
+
+  /**
+   * A controller.
+   *
+   * @param boot a text that no other process has, also not an earlier one of this node
+   * @param wallOffsetMicros time of day minus event time
+   */
+  public Core(Settings settings, String boot, RandomGenerator random, long wallOffsetMicros) {
+    this.settings = settings;
+    this.wallOffset = wallOffsetMicros;
+    this.cloud = new CloudService(calls, settings.cloudLimits().rps());
+    this.catalog = new CatalogKeeper(state, cloud);
+    this.election = new Election(state, settings.name(), boot, random, this);
+    this.direct = new DirectDesk(state, catalog, settings, boot, wallOffsetMicros);
+  }
+
+  /** Handles one event; the effects are to be carried out in order. */
+  public List<Effect> handle(long nowMicros, Event event) {
+    now = Math.max(now, nowMicros);
+    if (firstEventAt < 0) {
+      firstEventAt = now;
+    }
+    direct.now(now);
+    if (event instanceof Event.Request request) {
+      onRequest(request);
+    } else if (event instanceof Event.Reply reply) {
+      calls.reply(now, reply);
+    }
+    tick();
+    return calls.drain();
+  }
+
+  private void tick() {
+    election.tick(now);
+    catalog.tick(now, term != null);
+    if (term != null) {
+      term.tick(now);
+    }
+    askPeers();
+  }
+
+  /** A node that the state service does not answer learns from the others who leads. */
+  private void askPeers() {
+    boolean cut = now - Math.max(firstEventAt, election.lastContact()) > STATE_SILENT;
+    if (!cut || term != null || now < askPeersAt || settings.members().isEmpty()) {
+      return;
+    }
+    askPeersAt = now + 1_000_000;
+    Settings.Member member = settings.members().get(nextPeer++ % settings.members().size());
+    calls.call(
+        new Target.Member(member.name()),
+        "GET",
+        Forwarded.LEADER_PATH,
+        null,
+        1_000_000,
+        (at, status, body) -> {
+          if (status == 200 && body != null && body.path("leader").isTextual()) {
+            election.hint(body.path("leader").textValue());
+          }
+        });
+  }
+
+  public boolean leading() {
+    return term != null && election.hasAuthority(now);
+  }
+
+  public long termNumber() {
+    return term == null ? 0 : term.number();
+  }
+
+  @Override
+  public void onElected(long nowMicros, long number) {
+    term =
+        new Term(
+            number,
+            calls,
+            state,
+            cloud,
+            catalog,
+            settings,
+            election::hasAuthority,
+            () -> election.lost(now, "a write showed the key lost"),
+            nowMicros,
+            wallOffset);
+  }
+
+  @Override
+  public void onDeposed(long nowMicros, long number) {
+    Term old = term;
+    term = null;
+    if (old != null) {
+      old.close(nowMicros);
+    }
+  }
+
+  // Requests
+
+  private void onRequest(Event.Request request) {
+    if (request.source() == Event.Source.PEER) {
+      onPeer(request);
+      return;
+    }
+    switch (request.path()) {
+      case "/ready" -> onReady(request);
+      case "/hello" -> onReport(request);
+      default -> onUser(request);
+    }
+  }
+
+  private void onReady(Event.Request request) {
+    // Once this node has known a way to serve, troubles of the others show in single answers: a
+    // health check that flaps would take it out for longer than the trouble lasts.
+    ready |= election.lastContact() >= 0;
+    calls.respond(request.requestId(), ready ? 200 : 503, null);
+  }
+
+  private void onReport(Event.Request request) {
+    WorkerReport report;
+    try {
+      report = WorkerReport.parse(request.body());
+    } catch (MalformedException e) {
+      LOG.info("report not understood: {}", e.getMessage());
+      calls.respond(request.requestId(), 400, null);
+      return;
+    }
+    if (term != null && election.hasAuthority(now)) {
+      term.report(request.requestId(), report, now);
+      return;
+    }
+    String leader = election.leader();
+    if (leader != null && !leader.equals(settings.name())) {
+      calls.respond(request.requestId(), 421, Codec.map().put("steward", leader));
+    } else {
+      calls.respond(request.requestId(), 503, null);
+    }
+  }
+
+  private void onUser(Event.Request request) {
+    UserRequest parsed = route(request.method(), request.path(), request.body());
+    if (parsed == null) {
+      calls.respond(request.requestId(), known(request) ? 400 : 404, null);
+      return;
+    }
+    if (parsed instanceof UserRequest.Submit submit && submit.jobId() == null) {
+      calls.respond(request.requestId(), 400, null);
+      return;
+    }
+    if (parsed.jobId() != null && !JobRequest.isId(parsed.jobId())) {
+      // No job of such a name can have been accepted.
+      calls.respond(request.requestId(), 404, null);
+      return;
+    }
+    if (userRequests >= MOST_USER_REQUESTS) {
+      calls.respondRetry(request.requestId(), 503, null, BUSY_RETRY_S);
+      return;
+    }
+    userRequests++;
+    Answer answer = answer(request.requestId());
+    if (term != null) {
+      term.user(parsed, underAuthority(parsed, answer), now);
+      return;
+    }
+    String leader = election.leader();
+    if (leader != null && !leader.equals(settings.name())) {
+      forward(leader, request, parsed, answer);
+    } else {
+      direct.handle(parsed, answer, election.leaderAbsent());
+    }
+  }
+
+  private static boolean known(Event.Request request) {
+    return request.path().equals("/work") && request.method().equals("POST");
+  }
+
+  private static UserRequest route(String method, String path, JsonNode body) {
+    if (path.equals("/work")) {
+      if (!method.equals("POST")) {
+        return null;
+      }
+      JsonNode uid = body == null ? null : body.get("uid");
+      boolean hasId = uid != null && uid.isTextual() && JobRequest.isId(uid.textValue());
+      return new UserRequest.Submit(hasId ? uid.textValue() : null, body);
+    }
+    if (!path.startsWith("/work/")) {
+      return null;
+    }
+    String rest = path.substring("/work/".length());
+    if (method.equals("GET") && rest.indexOf('/') < 0) {
+      return new UserRequest.Query(rest);
+    }
+    if (method.equals("POST") && rest.endsWith("/abort")) {
+      return new UserRequest.Withdraw(rest.substring(0, rest.length() - "/abort".length()));
+    }
+    return null;
+  }
+
+  private Answer answer(long requestId) {
+    return (status, body, retryAfterS) -> {
+      userRequests--;
+      if (retryAfterS > 0) {
+        calls.respondRetry(requestId, status, body, retryAfterS);
+      } else {
+        calls.respond(requestId, status, body);
+      }
+    };
+  }
+
+  /** A leader whose authority ran out while it worked on an answer may tell outdated things. */
+  private Answer underAuthority(UserRequest request, Answer answer) {
+    return (status, body, retryAfterS) -> {
+      boolean judgement = status == 400 || status == 422;
+      if (judgement || status >= 500 || election.hasAuthority(now)) {
+        answer.send(status, body, retryAfterS);
+      } else {
+        answer.later();
+      }
+    };
+  }
+
+  private void forward(String leader, Event.Request request, UserRequest parsed, Answer answer) {
+    calls.call(
+        new Target.Member(leader),
+        "POST",
+        Forwarded.PATH,
+        Forwarded.request(request.method(), request.path(), request.body()),
+        FORWARD_TIMEOUT,
+        (at, status, body) -> {
+          int given = status == 200 && body != null ? body.path("status").asInt(503) : 503;
+          if (given != 503) {
+            JsonNode inner = body.get("body");
+            boolean empty = inner == null || inner.isNull();
+            answer.send(given, empty ? null : inner, body.path("retry").asInt(0));
+          } else {
+            direct.handle(parsed, answer, election.leaderAbsent());
+          }
+        });
+  }
+
+  private void onPeer(Event.Request request) {
+    if (request.path().equals(Forwarded.LEADER_PATH)) {
+      calls.respond(request.requestId(), 200, Codec.map().put("leader", election.leader()));
+      return;
+    }
+    if (!request.path().equals(Forwarded.PATH) || request.body() == null) {
+      calls.respond(request.requestId(), 404, null);
+      return;
+    }
+    JsonNode body = request.body();
+    JsonNode inner = body.get("body");
+    UserRequest parsed =
+        route(body.path("method").asText(), body.path("path").asText(), inner);
+    if (parsed == null || parsed.jobId() == null || term == null || !election.hasAuthority(now)) {
+      calls.respond(request.requestId(), 200, Forwarded.answer(503, null, 1));
+      return;
+    }
+    if (userRequests >= MOST_USER_REQUESTS) {
+      calls.respond(request.requestId(), 200, Forwarded.answer(503, null, BUSY_RETRY_S));
+      return;
+    }
+    userRequests++;
+    Answer answer =
+        (status, answerBody, retryAfterS) -> {
+          userRequests--;
+          calls.respond(
+              request.requestId(), 200, Forwarded.answer(status, answerBody, retryAfterS));
+        };
+    term.user(parsed, underAuthority(parsed, answer), now);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/dewreach/controller/FleetDesk.java
@@ -0,0 +1,454 @@
+package org.dewreach.controller;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.dewreach.cloud.CloudService;
+import org.dewreach.config.Settings;
+import org.dewreach.fleet.FleetPlanner;
+import org.dewreach.fleet.FleetPlanner.Kind;
+import org.dewreach.fleet.FleetPlanner.Need;
+import org.dewreach.fleet.FleetPlanner.Rental;
+import org.dewreach.job.Job;
+import org.dewreach.machine.Machine;
+import org.dewreach.machine.MachinePhase;
+import org.dewreach.task.Task;
+import org.dewreach.wire.JobRequest;
+import org.dewreach.wire.ListedMachine;
+import org.dewreach.wire.MachineType;
+import org.dewreach.wire.MalformedException;
+import org.dewreach.wire.Shape;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Rents, watches and returns machines. */
+final class FleetDesk {
+  private static final Logger LOG = LoggerFactory.getLogger(FleetDesk.class);
+
+  private static final long ROUND_EVERY = 1_000_000;
+
+  /** A machine without tasks is kept this long. Ours; weighed against boot times. */
+  private static final long IDLE_KEPT = 25_000_000;
+
+  /** A machine costs at least a minute, so returning it earlier saves nothing. */
+  private static final long LEAST_PAID = 58_000_000;
+
+  /** Horizon in which waiting work without a deadline is to be worked off. Ours. */
+  private static final long WORK_OFF = 60_000_000;
+
+  private static final int MOST_RETURNED = 100;
+  private static final int MOST_REMEMBERED = 4_000;
+  private static final int MOST_RENT_TRIES = 4;
+
+  /** A rental request on its way. */
+  private static final class Asked {
+    final String name;
+    final Rental rental;
+    int tries;
+    long nextTry;
+    boolean inFlight;
+
+    Asked(String name, Rental rental) {
+      this.name = name;
+      this.rental = rental;
+    }
+  }
+
+  private final long term;
+  private final Books books;
+  private final Recorder recorder;
+  private final CloudService cloud;
+  private final CatalogKeeper catalog;
+  private final Settings settings;
+  private final FleetPlanner planner = new FleetPlanner();
+  private final Map<String, Asked> asked = new LinkedHashMap<>();
+  private final Set<String> goneNames = new LinkedHashSet<>();
+  private final Set<String> returning = new HashSet<>();
+  private final long startedAt;
+  private final long wallOffset;
+  private long lastRequest;
+  private long nextRound;
+  private long nextList;
+  private boolean listing;
+  private boolean giving;
+  private long giveAgainAt;
+  private boolean closed;
+
+  FleetDesk(
+      long term,
+      Books books,
+      Recorder recorder,
+      CloudService cloud,
+      CatalogKeeper catalog,
+      Settings settings,
+      long nowMicros,
+      long wallOffset) {
+    this.term = term;
+    this.books = books;
+    this.recorder = recorder;
+    this.cloud = cloud;
+    this.catalog = catalog;
+    this.settings = settings;
+    this.startedAt = nowMicros;
+    this.wallOffset = wallOffset;
+  }
+
+  void close() {
+    closed = true;
+  }
+
+  /** True if the worker has surely killed all its tasks, or never had any. */
+  boolean leaseSurelyOver(Machine machine, long nowMicros) {
+    long from = Math.max(startedAt, machine.lastAnswer());
+    long lease = settings.workers().leaseMicros();
+    return nowMicros > from + lease + lease / 500 + 300_000;
+  }
+
+  private long silentAfter() {
+    return Math.max(
+        settings.workers().reportMicros() * 13 / 4, settings.workers().leaseMicros() * 45 / 100);
+  }
+
+  void tick(long nowMicros, List<Dispatcher.Waiting> waiting, boolean mayRent) {
+    if (nowMicros < nextRound) {
+      return;
+    }
+    nextRound = nowMicros + ROUND_EVERY;
+    watchSilent(nowMicros);
+    drain(nowMicros);
+    returnIdle(nowMicros, !waiting.isEmpty());
+    giveBack(nowMicros);
+    if (mayRent) {
+      rent(nowMicros, waiting);
+    }
+    list(nowMicros);
+  }
+
+  private void watchSilent(long nowMicros) {
+    List<Machine> silent = new ArrayList<>();
+    int heard = 0;
+    for (Machine machine : books.machines().values()) {
+      switch (machine.phase()) {
+        case UNHEARD, GREETED, UP, DRAINING -> {
+          long since = Math.max(startedAt, machine.lastReport());
+          if (nowMicros - since > silentAfter()) {
+            silent.add(machine);
+          } else {
+            heard++;
+          }
+        }
+        case BOOTING -> {
+          long patience = 3 * machine.type().bootMicros() + 30_000_000;
+          if (nowMicros - machine.knownSince() > patience) {
+            giveUp(machine, "never came up", nowMicros);
+          }
+        }
+        case RETURNING, GONE -> {
+          // on its way already
+        }
+      }
+    }
+    // When many fall silent at once it is rather us who are cut off: wait for the leases then.
+    boolean few = silent.size() <= Math.max(2, heard / 3);
+    for (Machine machine : silent) {
+      if (leaseSurelyOver(machine, nowMicros)) {
+        books.unbindAll(machine, "its lease is over", nowMicros);
+        giveUp(machine, "silent, lease over", nowMicros);
+      } else if (few) {
+        giveUp(machine, "silent", nowMicros);
+      }
+    }
+  }
+
+  private void giveUp(Machine machine, String why, long nowMicros) {
+    LOG.info("machine {} is to be returned: {}", machine.name(), why);
+    machine.become(MachinePhase.RETURNING, nowMicros);
+    books.touch();
+  }
+
+  private void drain(long nowMicros) {
+    for (Machine machine : List.copyOf(books.machines().values())) {
+      boolean leaving = machine.recallAt() >= 0 || machine.setAside();
+      if (!leaving || machine.phase() == MachinePhase.RETURNING) {
+        continue;
+      }
+      if (machine.phase() == MachinePhase.UP) {
+        LOG.info(
+            "machine {} drains: {}",
+            machine.name(),
+            machine.setAside() ? "set aside" : "to be taken");
+        machine.become(MachinePhase.DRAINING, nowMicros);
+        books.touch();
+      }
+      if (machine.phase() != MachinePhase.DRAINING) {
+        continue;
+      }
+      if (machine.recallAt() >= 0) {
+        for (Task task : List.copyOf(machine.tasks())) {
+          boolean saves = task.spec().checkpointMicros() > 0;
+          long lead = task.spec().saveMicros() + 2 * settings.workers().reportMicros();
+          // What cannot save may still complete before the machine is taken.
+          if (task.spec().shape() == Shape.SERVICE || saves && nowMicros + lead > machine.recallAt()) {
+            books.stop(task, "its machine is to be taken", nowMicros);
+          }
+        }
+      }
+      if (machine.tasks().isEmpty()) {
+        giveUp(machine, "drained", nowMicros);
+      }
+    }
+  }
+
+  private void returnIdle(long nowMicros, boolean someWait) {
+    for (Machine machine : books.machines().values()) {
+      if (machine.phase() == MachinePhase.UP
+          && machine.tasks().isEmpty()
+          && nowMicros - machine.idleSince() > IDLE_KEPT
+          && nowMicros - machine.knownSince() > LEAST_PAID) {
+        giveUp(machine, "idle", nowMicros);
+      }
+    }
+  }
+
+  private void giveBack(long nowMicros) {
+    if (giving || nowMicros < giveAgainAt || !cloud.mayCall(nowMicros)) {
+      return;
+    }
+    List<String> names = new ArrayList<>();
+    for (Machine machine : books.machines().values()) {
+      if (machine.phase() == MachinePhase.RETURNING && names.size() < MOST_RETURNED) {
+        names.add(machine.name());
+      }
+    }
+    if (names.isEmpty()) {
+      return;
+    }
+    giving = true;
+    cloud.giveBack(
+        nowMicros,
+        names,
+        (now, status, body) -> {
+          if (closed) {
+            return;
+          }
+          giving = false;
+          if (status != 200) {
+            giveAgainAt = now + 1_000_000;
+            return;
+          }
+          for (String name : names) {
+            Machine machine = books.machines().get(name);
+            if (machine != null) {
+              forget(machine, "returned", now);
+            }
+          }
+        });
+  }
+
+  private void forget(Machine machine, String why, long nowMicros) {
+    books.gone(machine, why, nowMicros);
+    recorder.forget(machine, nowMicros);
+    goneNames.add(machine.name());
+    if (goneNames.size() > MOST_REMEMBERED) {
+      goneNames.remove(goneNames.iterator().next());
+    }
+  }
+
+  /** A machine that was returned may still be listed, or heard of, for a while. */
+  boolean isGone(String name) {
+    return goneNames.contains(name);
+  }
+
+  private void rent(long nowMicros, List<Dispatcher.Waiting> waiting) {
+    for (Asked request : List.copyOf(asked.values())) {
+      if (!request.inFlight && nowMicros >= request.nextTry && cloud.mayCall(nowMicros)) {
+        send(request, nowMicros);
+      }
+    }
+    if (catalog.types().isEmpty() || asked.size() >= 6) {
+      return;
+    }
+    List<Need> needs = new ArrayList<>();
+    for (Dispatcher.Waiting item : waiting) {
+      int tasks = worthRenting(item, nowMicros);
+      if (tasks > 0) {
+        needs.add(new Need(item.job().spec(), tasks));
+      }
+    }
+    if (needs.isEmpty()) {
+      return;
+    }
+    List<Kind> askedFor = new ArrayList<>();
+    for (Asked request : asked.values()) {
+      askedFor.addAll(Collections.nCopies(request.rental.count(), request.rental.kind()));
+    }
+    for (Rental rental :
+        planner.plan(needs, books.machines().values(), askedFor, catalog.types(), nowMicros)) {
+      if (asked.size() < 6 && cloud.mayCall(nowMicros)) {
+        // The term makes the name unique among leaders, the counter within the term.
+        Asked request = new Asked("dw-" + term + "-" + ++lastRequest, rental);
+        asked.put(request.name, request);
+        send(request, nowMicros);
+      }
+    }
+  }
+
+  /** How many of the waiting tasks are worth a machine of their own, rather than a wait. */
+  private int worthRenting(Dispatcher.Waiting item, long nowMicros) {
+    Job job = item.job();
+    JobRequest spec = job.spec();
+    if (spec.shape() == Shape.SERVICE) {
+      return item.tasks();
+    }
+    long horizon = WORK_OFF;
+    if (spec.dueMicros() >= 0) {
+      long dueAt = job.acceptedWallMicros() - wallOffset + spec.dueMicros();
+      horizon = Math.max(spec.expectedMicros(), (dueAt - nowMicros) / 2);
+    }
+    horizon = Math.max(horizon, 15_000_000);
+    long work = (long) job.pending() * (spec.expectedMicros() + 3_000_000);
+    int slots = (int) Math.min(job.pending(), (work + horizon - 1) / horizon);
+    return Math.min(item.tasks(), Math.max(0, slots - job.bound().size()));
+  }
+
+  private void send(Asked request, long nowMicros) {
+    Rental rental = request.rental;
+    Kind kind = rental.kind();
+    request.inFlight = true;
+    request.tries++;
+    LOG.info(
+        "renting {} {}{} in {} as {}",
+        rental.count(),
+        kind.spot() ? "spot " : "",
+        kind.type().name(),
+        kind.zone(),
+        request.name);
+    cloud.rent(
+        nowMicros,
+        request.name,
+        kind.type().name(),
+        kind.zone(),
+        kind.spot(),
+        rental.count(),
+        (now, status, body) -> {
+          if (closed) {
+            return;
+          }
+          request.inFlight = false;
+          if (status == 200) {
+            onRented(request, body, now);
+          } else if (status == 503 && body != null && "trouble".equals(body.path("error").asText())
+              || status == 429
+              || status == 0) {
+            // Carried out or not: the same name again gives the same machines.
+            request.nextTry = now + 1_500_000;
+            if (request.tries >= MOST_RENT_TRIES) {
+              asked.remove(request.name);
+            }
+          } else {
+            LOG.info("renting {} refused: {}", request.name, status);
+            planner.refused(kind, now);
+            asked.remove(request.name);
+          }
+        });
+  }
+
+  private void onRented(Asked request, JsonNode body, long nowMicros) {
+    asked.remove(request.name);
+    Kind kind = request.rental.kind();
+    int count = 0;
+    for (JsonNode host : body.path("hosts")) {
+      count++;
+      String name = host.asText();
+      if (!books.machines().containsKey(name) && !isGone(name)) {
+        Machine machine =
+            new Machine(
+                name,
+                "",
+                kind.type(),
+                kind.zone(),
+                kind.spot(),
+                MachinePhase.BOOTING,
+                nowMicros);
+        books.add(machine);
+        recorder.record(machine, nowMicros);
+      }
+    }
+    LOG.info("rented {} of {} as {}", count, request.rental.count(), request.name);
+    if (count < request.rental.count()) {
+      planner.refused(kind, nowMicros);
+    } else {
+      planner.granted(kind);
+    }
+  }
+
+  private void list(long nowMicros) {
+    if (listing || nowMicros < nextList || !cloud.mayCall(nowMicros)) {
+      return;
+    }
+    listing = true;
+    nextList = nowMicros + Math.max(3_000_000, settings.cloudLimits().listLagMicros() / 2);
+    page(null, nowMicros);
+  }
+
+  private void page(String after, long nowMicros) {
+    cloud.list(
+        nowMicros,
+        after,
+        (now, status, body) -> {
+          if (closed) {
+            return;
+          }
+          listing = false;
+          if (status != 200) {
+            return;
+          }
+          try {
+            ListedMachine.Page page = ListedMachine.parsePage(body);
+            page.machines().forEach(machine -> onListed(machine, now));
+            if (page.more() && !page.machines().isEmpty()) {
+              listing = true;
+              page(page.machines().get(page.machines().size() - 1).name(), now);
+            }
+          } catch (MalformedException e) {
+            LOG.error("machine list not understood: {}", e.getMessage());
+          }
+        });
+  }
+
+  private void onListed(ListedMachine listed, long nowMicros) {
+    if (isGone(listed.name())) {
+      return;
+    }
+    Machine machine = books.machines().get(listed.name());
+    if (machine == null) {
+      MachineType type = catalog.type(listed.type());
+      if (type == null) {
+        return;
+      }
+      LOG.info("machine {} found in the list", listed.name());
+      machine =
+          new Machine(
+              listed.name(),
+              listed.address(),
+              type,
+              listed.zone(),
+              listed.spot(),
+              MachinePhase.BOOTING,
+              nowMicros);
+      machine.knownSince(nowMicros - listed.ageMicros());
+      books.add(machine);
+      recorder.record(machine, nowMicros);
+    }
+    if (listed.failed() && machine.phase() != MachinePhase.RETURNING) {
+      books.unbindAll(machine, "it failed", nowMicros);
+      giveUp(machine, "failed", nowMicros);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/dewreach/controller/LeaderDesk.java
@@ -0,0 +1,276 @@
+package org.dewreach.controller;
+
+import com.github.benmanes.caffeine.cache.Cache;
+import com.github.benmanes.caffeine.cache.Caffeine;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.dewreach.config.Settings;
+import org.dewreach.job.Admission;
+import org.dewreach.job.Job;
+import org.dewreach.job.JobPhase;
+import org.dewreach.store.Keys;
+import org.dewreach.store.StateService;
+import org.dewreach.wire.JobRequest;
+import org.dewreach.wire.MalformedException;
+import org.dewreach.wire.Standing;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The leader's answers to users. Nothing is told that is not durable. */
+final class LeaderDesk {
+  private static final Logger LOG = LoggerFactory.getLogger(LeaderDesk.class);
+  private static final int MOST_REMEMBERED = 5_000;
+
+  /** The final state of a job. */
+  record Final(Standing standing, int done) {}
+
+  private final Books books;
+  private final Recorder recorder;
+  private final StateService state;
+  private final CatalogKeeper catalog;
+  private final Settings settings;
+  private final long wallOffset;
+  private final Cache<String, Final> over =
+      Caffeine.newBuilder().maximumSize(MOST_REMEMBERED).executor(Runnable::run).build();
+  private final Map<String, List<Answer>> awaitingAcceptance = new HashMap<>();
+  private final Map<String, List<Answer>> awaitingWithdrawal = new HashMap<>();
+
+  LeaderDesk(
+      Books books,
+      Recorder recorder,
+      StateService state,
+      CatalogKeeper catalog,
+      Settings settings,
+      long wallOffset) {
+    this.books = books;
+    this.recorder = recorder;
+    this.state = state;
+    this.catalog = catalog;
+    this.settings = settings;
+    this.wallOffset = wallOffset;
+  }
+
+  void handle(UserRequest request, Answer answer, long nowMicros) {
+    if (request instanceof UserRequest.Submit submit) {
+      submit(submit, answer, nowMicros);
+    } else if (request instanceof UserRequest.Query query) {
+      query(query.jobId(), answer);
+    } else if (request instanceof UserRequest.Withdraw withdraw) {
+      withdraw(withdraw.jobId(), answer, nowMicros);
+    }
+  }
+
+  private void submit(UserRequest.Submit submit, Answer answer, long nowMicros) {
+    String id = submit.jobId();
+    Job known = books.jobs().get(id);
+    if (known != null) {
+      if (known.phase() == JobPhase.ACCEPTING) {
+        await(awaitingAcceptance, id, answer);
+      } else {
+        answer.send(200, known.standing().answer(id), 0);
+      }
+      return;
+    }
+    Final done = over.getIfPresent(id);
+    if (done != null) {
+      answer.send(200, done.standing().answer(id), 0);
+      return;
+    }
+    JobRequest spec;
+    try {
+      spec = JobRequest.parse(submit.body());
+    } catch (MalformedException e) {
+      unlessOver(id, answer, 400, e.getMessage());
+      return;
+    }
+    if (!catalog.known()) {
+      answer.later();
+      return;
+    }
+    String refusal = Admission.refusal(spec, settings.teams(), catalog.types());
+    if (refusal != null) {
+      unlessOver(id, answer, 422, refusal);
+      return;
+    }
+    Job job = new Job(spec, nowMicros + wallOffset, true, JobPhase.ACCEPTING);
+    books.jobs().put(id, job);
+    await(awaitingAcceptance, id, answer);
+    if (!recorder.accept(job, nowMicros, () -> knownAlready(job))) {
+      books.jobs().remove(id);
+      awaitingAcceptance.remove(id).forEach(Answer::later);
+    }
+  }
+
+  /** The record exists although the books lack it: the job is over. */
+  private void knownAlready(Job job) {
+    books.jobs().remove(job.id());
+    List<Answer> answers = awaitingAcceptance.remove(job.id());
+    if (answers != null) {
+      lookUp(
+          job.id(),
+          found -> {
+            for (Answer answer : answers) {
+              if (found == null) {
+                answer.later();
+              } else {
+                answer.send(200, found.standing().answer(job.id()), 0);
+              }
+            }
+          },
+          () -> answers.forEach(Answer::later));
+    }
+  }
+
+  /** A repeat of a job that is over is answered with its state, whatever it would be now. */
+  private void unlessOver(String id, Answer answer, int status, String why) {
+    lookUp(
+        id,
+        found -> {
+          if (found == null) {
+            LOG.info("submission of {} answered {}: {}", id, status, why);
+            answer.send(status, org.dewreach.wire.Codec.map().put("error", why), 0);
+          } else {
+            answer.send(200, found.standing().answer(id), 0);
+          }
+        },
+        answer::later);
+  }
+
+  private interface Found {
+    void on(Final found);
+  }
+
+  /** Reads the final state of a job that the books do not have; null if there is none. */
+  private void lookUp(String id, Found then, Runnable unknown) {
+    state.get(
+        Keys.over(id),
+        (now, status, body) -> {
+          if (status == 404) {
+            then.on(null);
+            return;
+          }
+          if (status != 200) {
+            unknown.run();
+            return;
+          }
+          try {
+            Final found =
+                new Final(
+                    Standing.of(body.path("data").path("standing").asText()),
+                    body.path("data").path("done").asInt());
+            over.put(id, found);
+            then.on(found);
+          } catch (MalformedException e) {
+            LOG.error("final record of {} not understood", id);
+            unknown.run();
+          }
+        });
+  }
+
+  private static void await(Map<String, List<Answer>> waiting, String id, Answer answer) {
+    waiting.computeIfAbsent(id, key -> new ArrayList<>(1)).add(answer);
+  }
+
+  private void query(String id, Answer answer) {
+    Job job = books.jobs().get(id);
+    if (job != null) {
+      if (job.phase() == JobPhase.ACCEPTING) {
+        answer.later();
+      } else {
+        answer.send(200, job.standing().answer(id, job.doneCount(), job.running()), 0);
+      }
+      return;
+    }
+    Final done = over.getIfPresent(id);
+    if (done != null) {
+      answer.send(200, done.standing().answer(id, done.done(), 0), 0);
+      return;
+    }
+    lookUp(
+        id,
+        found -> {
+          if (found != null) {
+            answer.send(200, found.standing().answer(id, found.done(), 0), 0);
+          } else if (books.jobs().containsKey(id)) {
+            // Accepted while we looked.
+            answer.later();
+          } else {
+            answer.send(404, null, 0);
+          }
+        },
+        answer::later);
+  }
+
+  private void withdraw(String id, Answer answer, long nowMicros) {
+    Job job = books.jobs().get(id);
+    if (job == null) {
+      Final done = over.getIfPresent(id);
+      if (done != null) {
+        answer.send(200, done.standing().answer(id), 0);
+        return;
+      }
+      lookUp(
+          id,
+          found -> {
+            if (found != null) {
+              answer.send(200, found.standing().answer(id), 0);
+            } else if (books.jobs().containsKey(id)) {
+              answer.later();
+            } else {
+              answer.send(404, null, 0);
+            }
+          },
+          answer::later);
+      return;
+    }
+    switch (job.phase()) {
+      case ACCEPTING -> answer.later();
+      case WITHDRAWN -> answer.send(200, Standing.WITHDRAWN.answer(id), 0);
+      case FINISHING, OVER -> {
+        if (job.finalStanding() == Standing.WITHDRAWN) {
+          answer.send(200, Standing.WITHDRAWN.answer(id), 0);
+        } else {
+          await(awaitingWithdrawal, id, answer);
+        }
+      }
+      case WITHDRAWING -> await(awaitingWithdrawal, id, answer);
+      case LIVE -> {
+        await(awaitingWithdrawal, id, answer);
+        job.become(JobPhase.WITHDRAWING);
+        books.touch();
+        recorder.pump(job, nowMicros);
+      }
+    }
+  }
+
+  void onAccepted(Job job) {
+    answerAll(awaitingAcceptance, job.id(), 201, Standing.PENDING);
+  }
+
+  void onWithdrawn(Job job) {
+    answerAll(awaitingWithdrawal, job.id(), 200, Standing.WITHDRAWN);
+  }
+
+  void onOver(Job job) {
+    over.put(job.id(), new Final(job.finalStanding(), job.doneCount()));
+    answerAll(awaitingWithdrawal, job.id(), 200, job.finalStanding());
+  }
+
+  private static void answerAll(
+      Map<String, List<Answer>> waiting, String id, int status, Standing standing) {
+    List<Answer> answers = waiting.remove(id);
+    if (answers != null) {
+      answers.forEach(answer -> answer.send(status, standing.answer(id), 0));
+    }
+  }
+
+  /** The term is over: users are told to come back. */
+  void close() {
+    awaitingAcceptance.values().forEach(list -> list.forEach(Answer::later));
+    awaitingWithdrawal.values().forEach(list -> list.forEach(Answer::later));
+    awaitingAcceptance.clear();
+    awaitingWithdrawal.clear();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/dewreach/controller/Recorder.java
@@ -0,0 +1,233 @@
+package org.dewreach.controller;
+
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.List;
+import org.dewreach.job.Job;
+import org.dewreach.job.JobPhase;
+import org.dewreach.job.JobRecord;
+import org.dewreach.machine.Machine;
+import org.dewreach.store.Change;
+import org.dewreach.store.CommitQueue;
+import org.dewreach.store.Condition;
+import org.dewreach.store.Keys;
+import org.dewreach.store.Write;
+import org.dewreach.wire.Standing;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * What the leader writes: one write in flight for each job, so that each is conditional on the
+ * stamp of the one before and a late copy of any can change nothing.
+ */
+final class Recorder {
+  private static final Logger LOG = LoggerFactory.getLogger(Recorder.class);
+
+  /** Progress is only saved work: it is gathered so that it leaves the rate to users' writes. */
+  private static final long PROGRESS_EVERY = 4_000_000;
+
+  private static final int MOST_WAITING_FOR_PROGRESS = 12;
+
+  /** Told when something became durable. */
+  interface Listener {
+    void onAccepted(Job job, long nowMicros);
+
+    void onWithdrawn(Job job, long nowMicros);
+
+    void onOver(Job job, long nowMicros);
+
+    /** A write failed that only a stale record of ours explains: rebuild from the state service. */
+    void onBroken(String why, long nowMicros);
+  }
+
+  private final CommitQueue queue;
+  private final Listener listener;
+  private boolean mayFinishWithdrawn;
+
+  Recorder(CommitQueue queue, Listener listener) {
+    this.queue = queue;
+    this.listener = listener;
+  }
+
+  /**
+   * Until every machine was heard, a withdrawn job of an earlier term may still run somewhere: its
+   * record has to stay, or those tasks would be counted for no team.
+   */
+  void allowFinishingWithdrawn() {
+    mayFinishWithdrawn = true;
+  }
+
+  /** Writes a new job; false if the queue is full. */
+  boolean accept(Job job, long nowMicros, Runnable onKnownAlready) {
+    job.writing(true);
+    List<Condition> conditions =
+        List.of(new Condition(Keys.job(job.id()), 0), new Condition(Keys.over(job.id()), 0));
+    Change put =
+        new Change(
+            Keys.job(job.id()),
+            JobRecord.encode(job.spec(), job.acceptedWallMicros(), false, job.done()));
+    return queue.add(
+        nowMicros,
+        new Write(
+            conditions,
+            List.of(put),
+            true,
+            (now, outcome, revision) -> {
+              job.writing(false);
+              switch (outcome) {
+                case WRITTEN -> {
+                  job.stamp(revision);
+                  job.become(JobPhase.LIVE);
+                  listener.onAccepted(job, now);
+                  pump(job, now);
+                }
+                case CONFLICT -> onKnownAlready.run();
+                case UNKNOWN -> {
+                  // the term is over; its users were told to come back
+                }
+              }
+            }));
+  }
+
+  /** Writes what is due for the job, if anything. */
+  void pump(Job job, long nowMicros) {
+    if (job.writing()) {
+      return;
+    }
+    switch (job.phase()) {
+      case WITHDRAWING -> write(job, true, true, nowMicros);
+      case WITHDRAWN -> {
+        if (job.bound().isEmpty() && (job.ofThisTerm() || mayFinishWithdrawn)) {
+          finish(job, nowMicros);
+        }
+      }
+      case LIVE -> {
+        if (job.complete()) {
+          finish(job, nowMicros);
+        } else if (nowMicros - job.progressAt() >= PROGRESS_EVERY
+            && !job.done().equals(job.durable())
+            && queue.waiting() < MOST_WAITING_FOR_PROGRESS) {
+          write(job, false, false, nowMicros);
+        }
+      }
+      case ACCEPTING, FINISHING, OVER -> {
+        // nothing to write
+      }
+    }
+  }
+
+  private void write(Job job, boolean withdrawn, boolean urgent, long nowMicros) {
+    BitSet snapshot = (BitSet) job.done().clone();
+    Change put =
+        new Change(
+            Keys.job(job.id()),
+            JobRecord.encode(job.spec(), job.acceptedWallMicros(), withdrawn, snapshot));
+    job.writing(true);
+    job.progressAt(nowMicros);
+    boolean taken =
+        queue.add(
+            nowMicros,
+            new Write(
+                List.of(new Condition(Keys.job(job.id()), job.stamp())),
+                List.of(put),
+                urgent,
+                (now, outcome, revision) -> {
+                  job.writing(false);
+                  switch (outcome) {
+                    case WRITTEN -> {
+                      job.stamp(revision);
+                      job.durable(snapshot);
+                      if (withdrawn) {
+                        job.become(JobPhase.WITHDRAWN);
+                        listener.onWithdrawn(job, now);
+                      }
+                      pump(job, now);
+                    }
+                    case CONFLICT -> listener.onBroken(job.id() + " changed by somebody", now);
+                    case UNKNOWN -> {
+                      // the term is over
+                    }
+                  }
+                }));
+    if (!taken) {
+      job.writing(false);
+    }
+  }
+
+  private void finish(Job job, long nowMicros) {
+    boolean withdrawn = job.phase() == JobPhase.WITHDRAWN;
+    Standing standing = withdrawn ? Standing.WITHDRAWN : Standing.DONE;
+    List<Change> changes = new ArrayList<>();
+    changes.add(
+        new Change(Keys.over(job.id()), JobRecord.encodeOver(standing, job.doneCount())));
+    changes.add(new Change(Keys.job(job.id()), null));
+    Write write =
+        new Write(
+            List.of(
+                new Condition(Keys.job(job.id()), job.stamp()),
+                new Condition(Keys.over(job.id()), 0)),
+            changes,
+            !withdrawn,
+            (now, outcome, revision) -> {
+              job.writing(false);
+              switch (outcome) {
+                case WRITTEN -> {
+                  job.become(JobPhase.OVER);
+                  listener.onOver(job, now);
+                }
+                case CONFLICT -> listener.onBroken(job.id() + " changed by somebody", now);
+                case UNKNOWN -> {
+                  // the term is over
+                }
+              }
+            });
+    job.writing(true);
+    job.become(JobPhase.FINISHING);
+    if (!queue.add(nowMicros, write)) {
+      listener.onBroken("write queue full", nowMicros);
+    }
+  }
+
+  /** Records a machine, which has to be durable before its first command. */
+  void record(Machine machine, long nowMicros) {
+    if (machine.recorded() || machine.recording()) {
+      return;
+    }
+    Change put =
+        new Change(
+            Keys.machine(machine.name()),
+            CommitQueue.value()
+                .put("address", machine.address())
+                .put("type", machine.type().name())
+                .put("zone", machine.zone())
+                .put("spot", machine.spot()));
+    machine.recording(true);
+    boolean taken =
+        queue.add(
+            nowMicros,
+            new Write(
+                List.of(),
+                List.of(put),
+                true,
+                (now, outcome, revision) -> {
+                  machine.recording(false);
+                  machine.recorded(outcome == Write.Outcome.WRITTEN);
+                }));
+    if (!taken) {
+      machine.recording(false);
+    }
+  }
+
+  /** Forgets a machine that is gone. A record left behind costs a later leader only a wait. */
+  void forget(Machine machine, long nowMicros) {
+    if (!machine.recorded() && !machine.recording()) {
+      return;
+    }
+    Change remove = new Change(Keys.machine(machine.name()), null);
+    if (!queue.add(
+        nowMicros,
+        new Write(List.of(), List.of(remove), false, (now, outcome, revision) -> {}))) {
+      LOG.debug("machine {} stays recorded", machine.name());
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/dewreach/controller/ReportDesk.java
@@ -0,0 +1,257 @@
+package org.dewreach.controller;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.dewreach.job.Job;
+import org.dewreach.job.JobPhase;
+import org.dewreach.machine.Machine;
+import org.dewreach.machine.MachinePhase;
+import org.dewreach.task.Task;
+import org.dewreach.task.TaskPhase;
+import org.dewreach.wire.Codec;
+import org.dewreach.wire.Order;
+import org.dewreach.wire.TaskName;
+import org.dewreach.wire.WorkerReport;
+import org.dewreach.wire.WorkerReport.Cause;
+import org.dewreach.wire.WorkerReport.ReportedTask;
+import org.dewreach.wire.WorkerReport.TaskState;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Reads workers' reports into the books and answers with what has to change.
+ *
+ * <p>Commands go out in report responses only. A worker has one report in flight and drops a
+ * response after 4 s, so its next report tells surely whether the commands were carried out.
+ */
+final class ReportDesk {
+  private static final Logger LOG = LoggerFactory.getLogger(ReportDesk.class);
+
+  /** Keeps a response well within 64 KiB. */
+  private static final int MOST_ORDERS = 300;
+
+  /** A machine on which tasks of this many jobs failed in a row is not given more. */
+  private static final int MOST_ERRED_JOBS = 2;
+
+  private static final long GRACE_SLACK = 5_000_000;
+
+  private final long term;
+  private final Books books;
+
+  ReportDesk(long term, Books books) {
+    this.term = term;
+    this.books = books;
+  }
+
+  /** Reads a report that is newer than the last one of its machine, and returns the response. */
+  ObjectNode take(Machine machine, WorkerReport report, long nowMicros) {
+    if (machine.session() >= 0 && report.session() > machine.session()) {
+      books.unbindAll(machine, "its worker began session " + report.session(), nowMicros);
+    }
+    machine.heard(report.session(), report.sequence(), nowMicros);
+    machine.address(report.address());
+    // A worker that has never seen a token was never given a command by anybody.
+    boolean sure = report.token() == term || report.token() == 0;
+    settlePhase(machine, report, sure, nowMicros);
+    List<Order> halts = new ArrayList<>();
+    List<Order> clears = new ArrayList<>();
+    Set<TaskName> seen = new HashSet<>();
+    for (ReportedTask reported : report.tasks()) {
+      seen.add(reported.name());
+      read(machine, reported, halts, clears, nowMicros);
+    }
+    List<Order> starts = new ArrayList<>();
+    if (sure) {
+      for (Task task : List.copyOf(machine.tasks())) {
+        settleBound(machine, task, seen.contains(task.name()), starts, halts, nowMicros);
+      }
+    }
+    machine.answered(nowMicros);
+    ObjectNode response = Codec.map().put("warrant", term);
+    ArrayNode orders = response.putArray("orders");
+    if (sure && machine.recorded()) {
+      for (List<Order> group : List.of(halts, clears, starts)) {
+        for (Order order : group) {
+          if (orders.size() < MOST_ORDERS) {
+            LOG.debug("order to {}: {}", machine.name(), order);
+            sent(machine, order, report, nowMicros);
+            orders.add(order.toNode());
+          }
+        }
+      }
+    }
+    return response;
+  }
+
+  private void sent(Machine machine, Order order, WorkerReport report, long nowMicros) {
+    if (order instanceof Order.Start) {
+      Task task = machine.task(order.task());
+      task.become(TaskPhase.STARTING, nowMicros);
+      task.sentInAnswerTo(report.sequence());
+    }
+  }
+
+  private void settlePhase(Machine machine, WorkerReport report, boolean sure, long nowMicros) {
+    switch (machine.phase()) {
+      case BOOTING, UNHEARD, GREETED -> {
+        MachinePhase next = sure ? MachinePhase.UP : MachinePhase.GREETED;
+        if (machine.phase() != next) {
+          LOG.info("machine {} {} -> {}", machine.name(), machine.phase(), next);
+          machine.become(next, nowMicros);
+          books.touch();
+        }
+      }
+      case UP, DRAINING, RETURNING, GONE -> {
+        // stays what it is
+      }
+    }
+    if (report.recallMicros() >= 0 && machine.recallAt() < 0) {
+      LOG.info("machine {} will be taken in {} ms", machine.name(), report.recallMicros() / 1000);
+      machine.recallAt(nowMicros + report.recallMicros());
+    }
+  }
+
+  private void read(
+      Machine machine,
+      ReportedTask reported,
+      List<Order> halts,
+      List<Order> clears,
+      long nowMicros) {
+    TaskName name = reported.name();
+    Job job = books.jobs().get(name.jobId());
+    Task task = machine.task(name);
+    boolean exited = reported.state() == TaskState.EXITED;
+    if (task != null && task.attempt() == reported.attempt()) {
+      if (exited) {
+        onExit(machine, task, reported.cause(), nowMicros);
+      } else {
+        follow(task, reported.state(), nowMicros);
+        return;
+      }
+    } else if (exited && reported.cause() == Cause.DONE && job != null) {
+      // Known from an earlier term, or from an attempt that we had given up.
+      books.markDone(job, name.index());
+    }
+    if (exited) {
+      // The result stays reported until it is durable, so that no leader can miss it.
+      boolean keep =
+          reported.cause() == Cause.DONE
+              && job != null
+              && job.phase() == JobPhase.LIVE
+              && !job.durable().get(name.index());
+      if (!keep) {
+        clears.add(new Order.Clear(name, reported.attempt()));
+      }
+      return;
+    }
+    if (job != null && !job.bound().containsKey(name.index()) && job.phase() != JobPhase.OVER) {
+      adopt(machine, job, reported, nowMicros);
+    } else {
+      LOG.info("machine {}: stray {} attempt {}", machine.name(), name, reported.attempt());
+      halts.add(new Order.Halt(name, reported.attempt(), 0));
+    }
+  }
+
+  /** A task that an earlier leader started. */
+  private void adopt(Machine machine, Job job, ReportedTask reported, long nowMicros) {
+    TaskPhase phase =
+        switch (reported.state()) {
+          case PULLING -> TaskPhase.PULLING;
+          case RUNNING -> TaskPhase.RUNNING;
+          case FLUSHING -> TaskPhase.STOPPING;
+          case EXITED -> throw new IllegalArgumentException("exited tasks are not adopted");
+        };
+    books.bind(job, reported.name().index(), reported.attempt(), machine, phase, nowMicros);
+  }
+
+  private void follow(Task task, TaskState state, long nowMicros) {
+    if (task.phase() == TaskPhase.STOPPING) {
+      return;
+    }
+    switch (state) {
+      case PULLING -> task.become(TaskPhase.PULLING, nowMicros);
+      case RUNNING -> task.become(TaskPhase.RUNNING, nowMicros);
+      case FLUSHING -> task.become(TaskPhase.STOPPING, nowMicros);
+      case EXITED -> throw new IllegalArgumentException("handled by onExit");
+    }
+  }
+
+  private void onExit(Machine machine, Task task, Cause cause, long nowMicros) {
+    Job job = task.job();
+    books.unbind(task, "exited: " + cause, nowMicros);
+    switch (cause) {
+      case DONE -> {
+        books.markDone(job, task.index());
+        machine.erredJobs().clear();
+      }
+      case ERROR -> {
+        job.failedOn(machine.name(), nowMicros);
+        LOG.info("task {} failed on {}", task.name(), machine.name());
+        // A job that fails wherever it goes says nothing about the machine.
+        if (job.suspects().size() <= 2) {
+          machine.erredJobs().add(job.id());
+        }
+        if (machine.erredJobs().size() >= MOST_ERRED_JOBS && !machine.setAside()) {
+          LOG.info("machine {} set aside: tasks of several jobs failed", machine.name());
+          machine.setAside(true);
+        }
+      }
+      case FULL, IN_USE -> machine.refusedAt(nowMicros);
+      case NO_SUCH -> job.rest(nowMicros + 2_000_000);
+      case STOPPED, NONE -> {
+        // it goes back to the queue
+      }
+    }
+  }
+
+  /** What a task that the books bind here needs, after a report that is sure to show all. */
+  private void settleBound(
+      Machine machine,
+      Task task,
+      boolean shown,
+      List<Order> starts,
+      List<Order> halts,
+      long nowMicros) {
+    Job job = task.job();
+    boolean wanted = job.phase() == JobPhase.LIVE && !job.done().get(task.index());
+    if (!wanted && task.phase() != TaskPhase.STOPPING) {
+      books.stop(task, "not wanted any more", nowMicros);
+    }
+    switch (task.phase()) {
+      case ASSIGNED -> starts.add(new Order.Start(task.name(), task.attempt()));
+      case STARTING -> {
+        // The response with the start was dropped: this report was sent after that.
+        if (!shown) {
+          starts.add(new Order.Start(task.name(), task.attempt()));
+        }
+      }
+      case PULLING, RUNNING -> {
+        if (!shown) {
+          books.unbind(task, "not reported any more", nowMicros);
+        }
+      }
+      case STOPPING -> {
+        if (shown) {
+          halts.add(new Order.Halt(task.name(), task.attempt(), grace(machine, task, nowMicros)));
+        } else {
+          books.unbind(task, "stopped before it started", nowMicros);
+        }
+      }
+      case EXITED, GONE -> {
+        // nothing to do
+      }
+    }
+  }
+
+  private static long grace(Machine machine, Task task, long nowMicros) {
+    if (task.job().phase() != JobPhase.LIVE || task.spec().checkpointMicros() == 0) {
+      return 0;
+    }
+    long grace = task.spec().saveMicros() + GRACE_SLACK;
+    return nowMicros - task.phaseSince() > grace + GRACE_SLACK ? 0 : grace;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/dewreach/controller/Term.java
@@ -0,0 +1,380 @@
+package org.dewreach.controller;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.function.LongPredicate;
+import org.dewreach.cloud.CloudService;
+import org.dewreach.config.Settings;
+import org.dewreach.job.Job;
+import org.dewreach.machine.Machine;
+import org.dewreach.machine.MachinePhase;
+import org.dewreach.placement.QueueOrder;
+import org.dewreach.port.Calls;
+import org.dewreach.store.Change;
+import org.dewreach.store.CommitQueue;
+import org.dewreach.store.Condition;
+import org.dewreach.store.Keys;
+import org.dewreach.store.RateBudget;
+import org.dewreach.store.StateService;
+import org.dewreach.store.Write;
+import org.dewreach.wire.MachineType;
+import org.dewreach.wire.WorkerReport;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** One term of this node as leader, from the winning of the key to its loss. */
+final class Term implements Recorder.Listener {
+  private static final Logger LOG = LoggerFactory.getLogger(Term.class);
+
+  /** Placement looks at changes that came close together in one pass. */
+  private static final long PASS_EVERY = 40_000;
+
+  /** Time-dependent pauses end unnoticed by events, so a pass is made now and then anyway. */
+  private static final long PASS_AT_LEAST = 500_000;
+
+  private static final int MOST_PARKED = 300;
+
+  /** Named states of a term. */
+  private enum Phase {
+    /** Reading what earlier leaders left. */
+    LOADING,
+    /** Some machine of an earlier term was not heard: old jobs are not started. */
+    RECOVERING,
+    /** Every machine of earlier terms is accounted for. */
+    ACTIVE,
+    /** Over. */
+    CLOSED
+  }
+
+  private record ParkedReport(long requestId, WorkerReport report) {}
+
+  private record ParkedRequest(UserRequest request, Answer answer) {}
+
+  private final long number;
+  private final Calls calls;
+  private final StateService state;
+  private final CatalogKeeper catalog;
+  private final LongPredicate authority;
+  private final Runnable onBroken;
+  private final Books books;
+  private final CommitQueue queue;
+  private final Recorder recorder;
+  private final Loader loader;
+  private final ReportDesk reports;
+  private final LeaderDesk users;
+  private final FleetDesk fleet;
+  private final Dispatcher dispatcher;
+  private final Deque<ParkedReport> parkedReports = new ArrayDeque<>();
+  private final Deque<ParkedRequest> parkedRequests = new ArrayDeque<>();
+  private Phase phase = Phase.LOADING;
+  private long lastPass;
+  private long nextProgress;
+  private long nextSummary;
+  private List<Dispatcher.Waiting> waiting = List.of();
+
+  Term(
+      long number,
+      Calls calls,
+      StateService state,
+      CloudService cloud,
+      CatalogKeeper catalog,
+      Settings settings,
+      LongPredicate authority,
+      Runnable onBroken,
+      long nowMicros,
+      long wallOffset) {
+    this.number = number;
+    this.calls = calls;
+    this.state = state;
+    this.catalog = catalog;
+    this.authority = authority;
+    this.onBroken = onBroken;
+    this.books = new Books(number, settings.teams());
+    double writes = settings.stateLimits().writeRps();
+    this.queue =
+        new CommitQueue(
+            state,
+            new Condition(Keys.LEADER, number),
+            settings.stateLimits().txnOps(),
+            // A tenth is left to the election and to what other nodes may write.
+            new RateBudget(writes * 0.9, writes * 0.9),
+            onBroken);
+    this.recorder = new Recorder(queue, this);
+    this.loader = new Loader(state, books, catalog);
+    this.reports = new ReportDesk(number, books);
+    this.users = new LeaderDesk(books, recorder, state, catalog, settings, wallOffset);
+    this.fleet =
+        new FleetDesk(
+            number, books, recorder, cloud, catalog, settings, nowMicros, wallOffset);
+    this.dispatcher = new Dispatcher(books, new QueueOrder(settings.teams()));
+  }
+
+  private void become(Phase next) {
+    LOG.info("term {}: {} -> {}", number, phase, next);
+    phase = next;
+  }
+
+  long number() {
+    return number;
+  }
+
+  /** True once it can serve. */
+  boolean loaded() {
+    return phase == Phase.RECOVERING || phase == Phase.ACTIVE;
+  }
+
+  Books books() {
+    return books;
+  }
+
+  void tick(long nowMicros) {
+    if (phase == Phase.CLOSED) {
+      return;
+    }
+    queue.tick(nowMicros);
+    if (phase == Phase.LOADING) {
+      loader.tick(nowMicros);
+      if (!loader.done()) {
+        return;
+      }
+      become(Phase.RECOVERING);
+      LOG.info(
+          "term {}: {} jobs, {} machines", number, books.jobs().size(), books.machines().size());
+      unpark(nowMicros);
+    }
+    if (!authority.test(nowMicros)) {
+      return;
+    }
+    if (phase == Phase.RECOVERING && allHeard(nowMicros)) {
+      become(Phase.ACTIVE);
+      recorder.allowFinishingWithdrawn();
+      books.touch();
+    }
+    if (catalog.takeFromCloud()) {
+      saveCatalog(nowMicros);
+    }
+    place(nowMicros);
+    fleet.tick(nowMicros, waiting, phase == Phase.ACTIVE || books.machines().isEmpty());
+    if (nowMicros >= nextProgress) {
+      nextProgress = nowMicros + 250_000;
+      pumpJobs(nowMicros);
+    }
+    summarize(nowMicros);
+  }
+
+  private void summarize(long nowMicros) {
+    if (nowMicros < nextSummary) {
+      return;
+    }
+    nextSummary = nowMicros + 10_000_000;
+    int tasks = 0;
+    int up = 0;
+    double cpus = 0;
+    double free = 0;
+    for (Machine machine : books.machines().values()) {
+      tasks += machine.tasks().size();
+      if (machine.phase() == MachinePhase.UP) {
+        up++;
+        cpus += machine.type().cpus();
+        free += machine.freeCpus();
+      }
+    }
+    int queued = 0;
+    for (Dispatcher.Waiting item : waiting) {
+      queued += item.tasks();
+    }
+    LOG.info(
+        "term {}: {} jobs, {} machines ({} up, {} of {} CPUs free), {} tasks bound, {} waiting,"
+            + " {} writes queued",
+        number,
+        books.jobs().size(),
+        books.machines().size(),
+        up,
+        free,
+        cpus,
+        tasks,
+        queued,
+        queue.waiting());
+  }
+
+  private boolean allHeard(long nowMicros) {
+    for (Machine machine : books.machines().values()) {
+      switch (machine.phase()) {
+        case UNHEARD, GREETED -> {
+          return false;
+        }
+        case RETURNING -> {
+          if (machine.session() < 0 && !fleet.leaseSurelyOver(machine, nowMicros)) {
+            return false;
+          }
+        }
+        case BOOTING, UP, DRAINING, GONE -> {
+          // nothing unknown runs there
+        }
+      }
+    }
+    return true;
+  }
+
+  private void saveCatalog(long nowMicros) {
+    queue.add(
+        nowMicros,
+        new Write(
+            List.of(),
+            List.of(new Change(Keys.CATALOG, MachineType.catalogNode(catalog.types()))),
+            false,
+            (now, outcome, revision) -> {}));
+  }
+
+  private void place(long nowMicros) {
+    boolean due = nowMicros - lastPass >= PASS_AT_LEAST;
+    if (nowMicros - lastPass < PASS_EVERY || !(books.takeChanged() || due)) {
+      return;
+    }
+    lastPass = nowMicros;
+    waiting = dispatcher.pass(nowMicros, phase == Phase.ACTIVE);
+  }
+
+  private void pumpJobs(long nowMicros) {
+    for (Job job : new ArrayList<>(books.jobs().values())) {
+      recorder.pump(job, nowMicros);
+      if (phase == Phase.CLOSED) {
+        return;
+      }
+    }
+  }
+
+  // Reports
+
+  void report(long requestId, WorkerReport report, long nowMicros) {
+    if (phase == Phase.LOADING) {
+      if (parkedReports.size() < MOST_PARKED) {
+        parkedReports.add(new ParkedReport(requestId, report));
+      } else {
+        calls.respond(requestId, 503, null);
+      }
+      return;
+    }
+    if (phase == Phase.CLOSED || !authority.test(nowMicros) || report.token() > number) {
+      calls.respond(requestId, 503, null);
+      return;
+    }
+    Machine machine = books.machines().get(report.machine());
+    if (machine == null) {
+      machine = met(report, nowMicros);
+      if (machine == null) {
+        calls.respond(requestId, 503, null);
+        return;
+      }
+    }
+    if (!machine.isNewer(report.session(), report.sequence())) {
+      // Held up on the way: the worker has sent newer ones, and does not wait for this answer.
+      calls.respond(requestId, 503, null);
+      return;
+    }
+    var response = reports.take(machine, report, nowMicros);
+    calls.respond(requestId, 200, response);
+    for (WorkerReport.ReportedTask task : report.tasks()) {
+      if (task.state() == WorkerReport.TaskState.EXITED) {
+        Job job = books.jobs().get(task.name().jobId());
+        if (job != null) {
+          recorder.pump(job, nowMicros);
+          if (phase == Phase.CLOSED) {
+            return;
+          }
+        }
+      }
+    }
+  }
+
+  /** A machine that nobody expected: a late rental, or one that the list does not show yet. */
+  private Machine met(WorkerReport report, long nowMicros) {
+    MachineType type = catalog.type(report.type());
+    if (type == null || fleet.isGone(report.machine())) {
+      return null;
+    }
+    LOG.info("machine {} met through its report", report.machine());
+    Machine machine =
+        new Machine(
+            report.machine(),
+            report.address(),
+            type,
+            report.zone(),
+            report.spot(),
+            MachinePhase.BOOTING,
+            nowMicros);
+    books.add(machine);
+    recorder.record(machine, nowMicros);
+    return machine;
+  }
+
+  // Users
+
+  void user(UserRequest request, Answer answer, long nowMicros) {
+    if (phase == Phase.LOADING) {
+      if (parkedRequests.size() < MOST_PARKED) {
+        parkedRequests.add(new ParkedRequest(request, answer));
+      } else {
+        answer.later();
+      }
+    } else if (phase == Phase.CLOSED || !authority.test(nowMicros)) {
+      answer.later();
+    } else {
+      users.handle(request, answer, nowMicros);
+    }
+  }
+
+  private void unpark(long nowMicros) {
+    while (!parkedReports.isEmpty()) {
+      ParkedReport parked = parkedReports.poll();
+      report(parked.requestId(), parked.report(), nowMicros);
+    }
+    while (!parkedRequests.isEmpty()) {
+      ParkedRequest parked = parkedRequests.poll();
+      user(parked.request(), parked.answer(), nowMicros);
+    }
+  }
+
+  @Override
+  public void onAccepted(Job job, long nowMicros) {
+    LOG.info("job {} accepted: {} tasks", job.id(), job.spec().tasks());
+    books.touch();
+    users.onAccepted(job);
+  }
+
+  @Override
+  public void onWithdrawn(Job job, long nowMicros) {
+    LOG.info("job {} withdrawn", job.id());
+    users.onWithdrawn(job);
+  }
+
+  @Override
+  public void onOver(Job job, long nowMicros) {
+    LOG.info("job {} over: {}", job.id(), job.finalStanding().word());
+    books.jobs().remove(job.id());
+    users.onOver(job);
+  }
+
+  @Override
+  public void onBroken(String why, long nowMicros) {
+    LOG.error("term {}: records do not match, giving up the lead: {}", number, why);
+    onBroken.run();
+  }
+
+  void close(long nowMicros) {
+    if (phase == Phase.CLOSED) {
+      return;
+    }
+    become(Phase.CLOSED);
+    loader.close();
+    fleet.close();
+    queue.close(nowMicros);
+    users.close();
+    parkedReports.forEach(parked -> calls.respond(parked.requestId(), 503, null));
+    parkedRequests.forEach(parked -> parked.answer().later());
+    parkedReports.clear();
+    parkedRequests.clear();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/dewreach/controller/UserRequest.java
@@ -0,0 +1,17 @@
+package org.dewreach.controller;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+/** A user's request, after routing. */
+sealed interface UserRequest {
+  String jobId();
+
+  /** POST /work; the body is judged where it is handled. */
+  record Submit(String jobId, JsonNode body) implements UserRequest {}
+
+  /** GET /work/{id}. */
+  record Query(String jobId) implements UserRequest {}
+
+  /** POST /work/{id}/abort. */
+  record Withdraw(String jobId) implements UserRequest {}
+}
--- /dev/null
+++ b/src/main/java/org/dewreach/fleet/FleetPlanner.java
@@ -0,0 +1,176 @@
+package org.dewreach.fleet;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.dewreach.job.Admission;
+import org.dewreach.machine.Machine;
+import org.dewreach.machine.MachinePhase;
+import org.dewreach.wire.JobRequest;
+import org.dewreach.wire.MachineType;
+
+/**
+ * Chooses what to rent: the tasks that fit nowhere are first fitted, by the same rule, on machines
+ * that are still booting; for the rest the cheapest kind for the queue's own mix is taken.
+ */
+public final class FleetPlanner {
+  private static final double EPS = 1e-9;
+  private static final long FIRST_PAUSE = 8_000_000;
+  private static final long LONGEST_PAUSE = 40_000_000;
+  private static final int MOST_AT_ONCE = 20;
+
+  /** A kind of machine that can be asked for. */
+  public record Kind(MachineType type, String zone, boolean spot) {
+    public double price() {
+      return spot ? type.spotPrice() : type.price();
+    }
+  }
+
+  /** A need: so many tasks of a job's size. */
+  public record Need(JobRequest spec, int tasks) {}
+
+  /** A request to the cloud. */
+  public record Rental(Kind kind, int count) {}
+
+  private static final class Room {
+    final Kind kind;
+    double cpus;
+    double gpus;
+    double memoryGb;
+
+    Room(Kind kind) {
+      this.kind = kind;
+      this.cpus = kind.type().cpus();
+      this.gpus = kind.type().gpus();
+      this.memoryGb = kind.type().memoryGb();
+    }
+
+    int take(JobRequest spec, int most) {
+      int count = 0;
+      while (count < most
+          && spec.cpus() <= cpus + EPS
+          && spec.gpus() <= gpus + EPS
+          && spec.memoryGb() <= memoryGb + EPS) {
+        cpus -= spec.cpus();
+        gpus -= spec.gpus();
+        memoryGb -= spec.memoryGb();
+        count++;
+      }
+      return count;
+    }
+  }
+
+  private final Map<Kind, long[]> refusals = new HashMap<>();
+
+  /** The cloud had none of this kind: ask again later, each time later. */
+  public void refused(Kind kind, long nowMicros) {
+    long[] entry = refusals.computeIfAbsent(key(kind), k -> new long[2]);
+    entry[1] = Math.min(LONGEST_PAUSE, Math.max(FIRST_PAUSE, entry[1] * 2));
+    entry[0] = nowMicros + entry[1];
+  }
+
+  /** The cloud had some of this kind. */
+  public void granted(Kind kind) {
+    refusals.remove(key(kind));
+  }
+
+  /** Prices move; what was refused is told by name, zone and kind. */
+  private static Kind key(Kind kind) {
+    MachineType type = kind.type();
+    return new Kind(
+        new MachineType(type.name(), 0, 0, 0, 0, 0, 0, 0, 0, List.of()), kind.zone(), kind.spot());
+  }
+
+  private boolean available(Kind kind, long nowMicros) {
+    long[] entry = refusals.get(key(kind));
+    return entry == null || entry[0] <= nowMicros;
+  }
+
+  /** What to ask for now. */
+  public List<Rental> plan(
+      List<Need> needs,
+      Collection<Machine> machines,
+      List<Kind> askedFor,
+      List<MachineType> catalog,
+      long nowMicros) {
+    List<Room> rooms = new ArrayList<>();
+    for (Machine machine : machines) {
+      if (comes(machine, nowMicros)) {
+        rooms.add(new Room(new Kind(machine.type(), machine.zone(), machine.spot())));
+      }
+    }
+    askedFor.forEach(kind -> rooms.add(new Room(kind)));
+    rooms.sort(
+        Comparator.comparingDouble((Room r) -> r.kind.type().cpus())
+            .thenComparingDouble(r -> r.kind.type().memoryGb())
+            .reversed());
+    Map<Kind, Integer> wanted = new HashMap<>();
+    List<Kind> order = new ArrayList<>();
+    for (Need need : needs) {
+      int left = need.tasks();
+      for (Room room : rooms) {
+        if (left > 0 && permitted(need.spec(), room.kind)) {
+          left -= room.take(need.spec(), left);
+        }
+      }
+      while (left > 0) {
+        Kind kind = cheapest(need.spec(), left, catalog, nowMicros);
+        if (kind == null) {
+          break;
+        }
+        Room room = new Room(kind);
+        left -= room.take(need.spec(), left);
+        rooms.add(room);
+        if (wanted.merge(kind, 1, Integer::sum) == 1) {
+          order.add(kind);
+        }
+      }
+    }
+    List<Rental> rentals = new ArrayList<>();
+    for (Kind kind : order) {
+      rentals.add(new Rental(kind, Math.min(MOST_AT_ONCE, wanted.get(kind))));
+    }
+    return rentals;
+  }
+
+  /** A machine that will soon give room. One long overdue is not counted on. */
+  private static boolean comes(Machine machine, long nowMicros) {
+    return (machine.phase() == MachinePhase.BOOTING || machine.phase() == MachinePhase.GREETED)
+        && !machine.setAside()
+        && nowMicros - machine.knownSince() < 2 * machine.type().bootMicros() + 10_000_000;
+  }
+
+  private static boolean permitted(JobRequest spec, Kind kind) {
+    return (spec.types() == null || spec.types().contains(kind.type().name()))
+        && (spec.zone() == null || spec.zone().equals(kind.zone()))
+        && (spec.spot() || !kind.spot());
+  }
+
+  private Kind cheapest(
+      JobRequest spec, int tasks, List<MachineType> catalog, long nowMicros) {
+    Kind best = null;
+    double bestCost = Double.POSITIVE_INFINITY;
+    for (MachineType type : catalog) {
+      if (!Admission.fits(spec, type)) {
+        continue;
+      }
+      for (String zone : type.zones()) {
+        for (boolean spot : new boolean[] {true, false}) {
+          Kind kind = new Kind(type, zone, spot);
+          if (!permitted(spec, kind) || !available(kind, nowMicros)) {
+            continue;
+          }
+          double cost = kind.price() / Math.min(tasks, new Room(kind).take(spec, tasks));
+          if (cost < bestCost - EPS) {
+            best = kind;
+            bestCost = cost;
+          }
+        }
+      }
+    }
+    return best;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/dewreach/job/Admission.java
@@ -0,0 +1,56 @@
+package org.dewreach.job;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.dewreach.config.Settings;
+import org.dewreach.wire.JobRequest;
+import org.dewreach.wire.MachineType;
+import org.dewreach.wire.Shape;
+
+/** Whether a job can ever run (422 if not). */
+public final class Admission {
+  private static final double EPS = 1e-9;
+
+  private Admission() {}
+
+  /** Why the job can never run, or null if it can. */
+  public static String refusal(
+      JobRequest spec, Map<String, Settings.Team> teams, List<MachineType> catalog) {
+    Settings.Team team = teams.get(spec.team());
+    if (team == null) {
+      return "unknown team";
+    }
+    int together = spec.shape() == Shape.SERVICE ? spec.tasks() : 1;
+    if (spec.cpus() * together > team.cpusMax() + EPS
+        || spec.gpus() * together > team.gpusMax() + EPS) {
+      return "more than the team's limit";
+    }
+    Set<String> zones = new HashSet<>();
+    for (MachineType type : catalog) {
+      if (fits(spec, type)) {
+        zones.addAll(type.zones());
+      }
+    }
+    if (spec.zone() != null) {
+      zones.retainAll(Set.of(spec.zone()));
+    }
+    if (zones.isEmpty()) {
+      return "fits no allowed machine type";
+    }
+    boolean several = spec.tasks() > 1;
+    if (spec.scatter() && several && (spec.together() || zones.size() < 2)) {
+      return "cannot be spread over zones";
+    }
+    return null;
+  }
+
+  /** True if a task of the job may run on an empty machine of the type. */
+  public static boolean fits(JobRequest spec, MachineType type) {
+    return (spec.types() == null || spec.types().contains(type.name()))
+        && spec.cpus() <= type.cpus() + EPS
+        && spec.gpus() <= type.gpus() + EPS
+        && spec.memoryGb() <= type.memoryGb() + EPS;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/dewreach/job/Job.java
@@ -0,0 +1,239 @@
+package org.dewreach.job;
+
+import it.unimi.dsi.fastutil.ints.Int2ObjectLinkedOpenHashMap;
+import it.unimi.dsi.fastutil.ints.Int2ObjectMap;
+import java.util.BitSet;
+import java.util.LinkedHashSet;
+import java.util.Set;
+import org.dewreach.task.Task;
+import org.dewreach.wire.JobRequest;
+import org.dewreach.wire.Shape;
+import org.dewreach.wire.Standing;
+
+/** A job that is not over, as the leader knows it. */
+public final class Job {
+  private static final int MOST_SUSPECTS = 8;
+
+  private final JobRequest spec;
+  private final long acceptedWallMicros;
+  private final boolean ofThisTerm;
+  private final BitSet done = new BitSet();
+  private final Int2ObjectMap<Task> bound = new Int2ObjectLinkedOpenHashMap<>();
+  private final Set<String> suspects = new LinkedHashSet<>();
+  private JobPhase phase;
+  private Standing finalStanding;
+  private long stamp;
+  private BitSet durable = new BitSet();
+  private boolean writing;
+  private long progressAt;
+  private int cursor;
+  private int errors;
+  private long notBefore;
+
+  /**
+   * A job.
+   *
+   * @param acceptedWallMicros time of day of its submission
+   * @param ofThisTerm true if it was submitted under the current term, so that no earlier leader
+   *     can have started any of its tasks
+   */
+  public Job(JobRequest spec, long acceptedWallMicros, boolean ofThisTerm, JobPhase phase) {
+    this.spec = spec;
+    this.acceptedWallMicros = acceptedWallMicros;
+    this.ofThisTerm = ofThisTerm;
+    this.phase = phase;
+  }
+
+  /** The one function for every change of state. */
+  public void become(JobPhase next) {
+    boolean legal =
+        switch (next) {
+          case ACCEPTING -> false;
+          case LIVE -> phase == JobPhase.ACCEPTING;
+          case WITHDRAWING -> phase == JobPhase.LIVE;
+          case WITHDRAWN -> phase == JobPhase.WITHDRAWING;
+          case FINISHING -> phase == JobPhase.LIVE || phase == JobPhase.WITHDRAWN;
+          case OVER -> phase == JobPhase.FINISHING;
+        };
+    if (!legal) {
+      throw new IllegalStateException(id() + " cannot go from " + phase + " to " + next);
+    }
+    if (next == JobPhase.FINISHING) {
+      finalStanding = phase == JobPhase.WITHDRAWN ? Standing.WITHDRAWN : Standing.DONE;
+    }
+    phase = next;
+  }
+
+  /** What it is to end as, once it is being finished. */
+  public Standing finalStanding() {
+    return finalStanding;
+  }
+
+  public String id() {
+    return spec.id();
+  }
+
+  public JobRequest spec() {
+    return spec;
+  }
+
+  public JobPhase phase() {
+    return phase;
+  }
+
+  public long acceptedWallMicros() {
+    return acceptedWallMicros;
+  }
+
+  public boolean ofThisTerm() {
+    return ofThisTerm;
+  }
+
+  public long stamp() {
+    return stamp;
+  }
+
+  public void stamp(long newStamp) {
+    stamp = newStamp;
+  }
+
+  public boolean writing() {
+    return writing;
+  }
+
+  public void writing(boolean now) {
+    writing = now;
+  }
+
+  /** When progress was last written. */
+  public long progressAt() {
+    return progressAt;
+  }
+
+  public void progressAt(long micros) {
+    progressAt = micros;
+  }
+
+  public BitSet done() {
+    return done;
+  }
+
+  public int doneCount() {
+    return done.cardinality();
+  }
+
+  /** The tasks done that a new leader would know of. */
+  public BitSet durable() {
+    return durable;
+  }
+
+  public void durable(BitSet written) {
+    durable = written;
+  }
+
+  public boolean complete() {
+    return spec.shape() == Shape.SWEEP && done.cardinality() >= spec.tasks();
+  }
+
+  public Int2ObjectMap<Task> bound() {
+    return bound;
+  }
+
+  /** Tasks that are neither done nor bound to a machine. */
+  public int pending() {
+    int pending = spec.tasks() - done.cardinality();
+    for (Task task : bound.values()) {
+      if (!done.get(task.index())) {
+        pending--;
+      }
+    }
+    return pending;
+  }
+
+  /** The lowest task that is neither done nor bound, or -1. */
+  public int nextPending() {
+    for (int i = cursor; i < spec.tasks(); i++) {
+      if (!done.get(i) && !bound.containsKey(i)) {
+        cursor = i;
+        return i;
+      }
+    }
+    cursor = 0;
+    for (int i = 0; i < spec.tasks(); i++) {
+      if (!done.get(i) && !bound.containsKey(i)) {
+        cursor = i;
+        return i;
+      }
+    }
+    return -1;
+  }
+
+  /** A task became unbound: look from there again. */
+  public void rewind(int index) {
+    cursor = Math.min(cursor, index);
+  }
+
+  /** True while its tasks may be started. */
+  public boolean startable() {
+    return phase == JobPhase.LIVE;
+  }
+
+  public long notBefore() {
+    return notBefore;
+  }
+
+  /** Machines on which its tasks failed lately. */
+  public Set<String> suspects() {
+    return suspects;
+  }
+
+  /** A task failed: the job rests longer each time, and avoids the machine. */
+  public void failedOn(String machine, long nowMicros) {
+    suspects.add(machine);
+    if (suspects.size() > MOST_SUSPECTS) {
+      suspects.remove(suspects.iterator().next());
+    }
+    errors++;
+    if (suspects.size() > 1) {
+      long pause = Math.min(60_000_000L, 500_000L << Math.min(errors, 8));
+      notBefore = nowMicros + pause;
+    }
+  }
+
+  /** Nothing of it is started before the given time. */
+  public void rest(long untilMicros) {
+    notBefore = Math.max(notBefore, untilMicros);
+  }
+
+  public void succeeded() {
+    errors = 0;
+    notBefore = 0;
+  }
+
+  public Standing standing() {
+    return switch (phase) {
+      case WITHDRAWN -> Standing.WITHDRAWN;
+      case FINISHING -> finalStanding == Standing.WITHDRAWN ? finalStanding : progress();
+      case OVER -> finalStanding;
+      case ACCEPTING, LIVE, WITHDRAWING -> progress();
+    };
+  }
+
+  private Standing progress() {
+    return running() > 0 || !done.isEmpty() ? Standing.RUNNING : Standing.PENDING;
+  }
+
+  /** Tasks that were seen running. */
+  public int running() {
+    int running = 0;
+    for (Task task : bound.values()) {
+      switch (task.phase()) {
+        case RUNNING, STOPPING -> running++;
+        default -> {
+          // not running yet, or no more
+        }
+      }
+    }
+    return running;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/dewreach/job/JobPhase.java
@@ -0,0 +1,17 @@
+package org.dewreach.job;
+
+/** Named states of a job in the leader's books. */
+public enum JobPhase {
+  /** Its record is being written; the user has no answer yet and nothing is started. */
+  ACCEPTING,
+  /** Accepted: its tasks are to run. */
+  LIVE,
+  /** Its user asked to withdraw it; the record is being written. */
+  WITHDRAWING,
+  /** Withdrawn durably; tasks may still have to be stopped. */
+  WITHDRAWN,
+  /** All tasks are done; the final state is being written. */
+  FINISHING,
+  /** Final state durable. */
+  OVER
+}
--- /dev/null
+++ b/src/main/java/org/dewreach/job/JobRecord.java
@@ -0,0 +1,73 @@
+package org.dewreach.job;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.BitSet;
+import org.dewreach.store.CommitQueue;
+import org.dewreach.wire.JobRequest;
+import org.dewreach.wire.MalformedException;
+import org.dewreach.wire.Standing;
+
+/**
+ * A job's durable form.
+ *
+ * <p>Tasks done are kept as a number `low`, below which all are done, and the bits from there on.
+ * What does not fit is left out: a task that is run again exits as done once it has its image, so
+ * only a little work is lost with it.
+ */
+public record JobRecord(JobRequest spec, long acceptedWallMicros, boolean withdrawn, BitSet done) {
+  /** 12 Ki bits are 3 KiB in hexadecimal: with the description well within a value. */
+  private static final int MOST_BITS = 12 * 1024;
+
+  public static ObjectNode encode(
+      JobRequest spec, long acceptedWallMicros, boolean withdrawn, BitSet done) {
+    ObjectNode node = CommitQueue.value();
+    node.set("job", spec.toNode());
+    node.put("at", acceptedWallMicros);
+    if (withdrawn) {
+      node.put("off", true);
+    }
+    int low = done.nextClearBit(0);
+    if (low > 0) {
+      node.put("low", low);
+    }
+    int high = Math.min(done.length(), low + MOST_BITS);
+    if (high > low) {
+      StringBuilder hex = new StringBuilder((high - low) / 4 + 1);
+      for (int i = low; i < high; i += 4) {
+        int digit = 0;
+        for (int bit = 0; bit < 4; bit++) {
+          if (i + bit < high && done.get(i + bit)) {
+            digit |= 1 << bit;
+          }
+        }
+        hex.append(Character.forDigit(digit, 16));
+      }
+      node.put("bits", hex.toString());
+    }
+    return node;
+  }
+
+  public static JobRecord decode(JsonNode node) throws MalformedException {
+    JobRequest spec = JobRequest.parse(node.path("job"));
+    BitSet done = new BitSet();
+    int low = node.path("low").asInt(0);
+    done.set(0, low);
+    String hex = node.path("bits").asText("");
+    for (int i = 0; i < hex.length(); i++) {
+      int digit = Character.digit(hex.charAt(i), 16);
+      for (int bit = 0; bit < 4; bit++) {
+        if ((digit & 1 << bit) != 0) {
+          done.set(low + 4 * i + bit);
+        }
+      }
+    }
+    return new JobRecord(
+        spec, node.path("at").asLong(0), node.path("off").asBoolean(false), done);
+  }
+
+  /** The final record of a job. */
+  public static ObjectNode encodeOver(Standing standing, int done) {
+    return CommitQueue.value().put("standing", standing.word()).put("done", done);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/dewreach/leadership/Election.java
@@ -0,0 +1,355 @@
+package org.dewreach.leadership;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
+import java.util.random.RandomGenerator;
+import org.dewreach.store.Change;
+import org.dewreach.store.Condition;
+import org.dewreach.store.Keys;
+import org.dewreach.store.StateService;
+import org.dewreach.wire.Codec;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * One controller's part in choosing the leader.
+ *
+ * <p>Authority is counted from the sending of the last hold extension that succeeded, less clock
+ * drift: the state service ends a hold early for nobody, so the key cannot pass to another node
+ * while authority lasts. When authority has run out but the hold turns out to have survived (an
+ * outage of the state service gives holds their full time again), the same term goes on.
+ */
+public final class Election {
+  private static final Logger LOG = LoggerFactory.getLogger(Election.class);
+
+  /** Length of the hold. Ours: short enough to take over well within a worker's lease. */
+  static final long HOLD_MICROS = 4_000_000;
+
+  private static final long EXTEND_EVERY = 900_000;
+  private static final long EXTEND_TIMEOUT = 1_000_000;
+  private static final long EXTEND_RETRY = 200_000;
+
+  /** Two clocks that drift by up to 0.05% each, doubled, and a little for timer steps. */
+  private static final long AUTHORITY_MICROS = HOLD_MICROS - HOLD_MICROS / 500 - 30_000;
+
+  private static final long WATCH_MS = 8_000;
+
+  /** What this controller is in the election. */
+  public enum State {
+    /** Learning who leads. */
+    FOLLOWING,
+    /** The key is absent: waiting a moment so that not all nodes claim it at once. */
+    WAITING,
+    /** Opening a hold for the claim. */
+    OPENING,
+    /** Writing the leader key. */
+    CLAIMING,
+    /** The claim had no clear answer: reading who holds the key. */
+    VERIFYING,
+    /** Holding the key. */
+    LEADING
+  }
+
+  /** What the rest of the core wants to know. */
+  public interface Listener {
+    void onElected(long nowMicros, long term);
+
+    void onDeposed(long nowMicros, long term);
+  }
+
+  private final StateService state;
+  private final String self;
+  private final String boot;
+  private final RandomGenerator random;
+  private final Listener listener;
+
+  private State phase = State.FOLLOWING;
+  private String leader;
+  private boolean leaderAbsent;
+  private long seenRevision;
+  private boolean reading;
+  private boolean watching;
+  private long readAgainAt;
+  private long claimAt;
+  private long hold;
+  private long holdSentAt;
+  private long term;
+  private long authorityUntil;
+  private boolean extending;
+  private long extendAt;
+  private long lastContact = -1;
+
+  public Election(
+      StateService state, String self, String boot, RandomGenerator random, Listener listener) {
+    this.state = state;
+    this.self = self;
+    this.boot = boot;
+    this.random = random;
+    this.listener = listener;
+  }
+
+  public State phase() {
+    return phase;
+  }
+
+  /** Name of the leader as last seen, or null. */
+  public String leader() {
+    return phase == State.LEADING ? self : leader;
+  }
+
+  /** True if the key was last seen absent: requests may then be kept by conditional writes. */
+  public boolean leaderAbsent() {
+    return leaderAbsent && phase != State.LEADING;
+  }
+
+  public long term() {
+    return term;
+  }
+
+  public boolean hasAuthority(long nowMicros) {
+    return phase == State.LEADING && nowMicros < authorityUntil;
+  }
+
+  /** When the state service last answered this node, or -1. */
+  public long lastContact() {
+    return lastContact;
+  }
+
+  private void become(State next, String why) {
+    if (phase != next) {
+      LOG.info("election: {} -> {} ({})", phase, next, why);
+      phase = next;
+    }
+  }
+
+  /** Called when time has passed. */
+  public void tick(long nowMicros) {
+    switch (phase) {
+      case LEADING -> {
+        if (!extending && nowMicros >= extendAt) {
+          extend(nowMicros);
+        }
+      }
+      case WAITING -> {
+        if (nowMicros >= claimAt) {
+          open(nowMicros);
+        }
+      }
+      case FOLLOWING -> {
+        if (!reading && !watching && nowMicros >= readAgainAt) {
+          read(nowMicros);
+        }
+      }
+      default -> {
+        // a reply is on its way
+      }
+    }
+  }
+
+  /** The leader key was found lost by a write: step down at once. */
+  public void lost(long nowMicros, String why) {
+    if (phase == State.LEADING) {
+      depose(nowMicros, why);
+    }
+  }
+
+  /** Hearsay about the leader; it helps to forward requests, never to act. */
+  public void hint(String name) {
+    if (phase != State.LEADING && name != null && !name.equals(self)) {
+      leader = name;
+    }
+  }
+
+  private void read(long nowMicros) {
+    reading = true;
+    state.get(Keys.LEADER, this::onRead);
+  }
+
+  private void onRead(long nowMicros, int status, JsonNode body) {
+    reading = false;
+    if (status == 200 || status == 404) {
+      lastContact = nowMicros;
+    }
+    if (phase != State.FOLLOWING && phase != State.VERIFYING) {
+      return;
+    }
+    if (status == 200) {
+      JsonNode data = body.path("data");
+      String name = data.path("name").asText();
+      long holder = body.path("hold").asLong(0);
+      long stamp = body.path("stamp").asLong();
+      if (name.equals(self) && data.path("boot").asText().equals(boot)) {
+        if (phase == State.VERIFYING && holder == hold) {
+          elected(nowMicros, stamp);
+        } else {
+          // A claim of ours that was applied late: give it up, nobody may rely on it.
+          drop(nowMicros, holder);
+        }
+        return;
+      }
+      if (name.equals(self)) {
+        // Left by an earlier process of this node, which is gone for sure.
+        LOG.info("election: dropping the hold of an earlier process of this node");
+        drop(nowMicros, holder);
+        return;
+      }
+      abandonClaim();
+      leader = name;
+      leaderAbsent = false;
+      seenRevision = stamp;
+      become(State.FOLLOWING, "led by " + name);
+      watch();
+    } else if (status == 404) {
+      abandonClaim();
+      leader = null;
+      leaderAbsent = true;
+      seenRevision = body.path("ledger_rev").asLong(0);
+      claimAt = nowMicros + random.nextLong(150_000);
+      become(State.WAITING, "no leader");
+    } else if (phase == State.VERIFYING) {
+      retryRead(nowMicros, 200_000);
+    } else {
+      retryRead(nowMicros, 300_000);
+    }
+  }
+
+  private void retryRead(long nowMicros, long pause) {
+    if (phase == State.VERIFYING) {
+      // Nothing was promised to anybody yet, so the claim can simply be given up.
+      abandonClaim();
+      become(State.FOLLOWING, "claim unclear");
+    }
+    readAgainAt = nowMicros + pause;
+  }
+
+  /** Ends the hold of a claim that is not wanted any more; a late put with it is then refused. */
+  private void abandonClaim() {
+    if (hold > 0) {
+      long old = hold;
+      hold = 0;
+      state.dropHold(old, (now, status, body) -> {});
+    }
+  }
+
+  private void drop(long nowMicros, long holder) {
+    if (hold == holder) {
+      hold = 0;
+    }
+    abandonClaim();
+    become(State.FOLLOWING, "dropping an old hold");
+    reading = true;
+    state.dropHold(
+        holder,
+        (now, status, body) -> {
+          reading = false;
+          readAgainAt = now + (status == 200 || status == 404 ? 0 : 300_000);
+        });
+  }
+
+  private void watch() {
+    watching = true;
+    state.watch(
+        Keys.LEADER,
+        seenRevision,
+        WATCH_MS,
+        (now, status, body) -> {
+          watching = false;
+          if (status == 200) {
+            lastContact = now;
+          }
+          readAgainAt = now + (status == 200 || status == 410 ? 0 : 300_000);
+          if (phase == State.FOLLOWING && status == 200 && body.path("log").isEmpty()) {
+            // Nothing changed; keep watching from here without reading the key again.
+            seenRevision = Math.max(seenRevision, body.path("ledger_rev").asLong(0));
+            watch();
+          } else if (phase == State.FOLLOWING) {
+            tick(now);
+          }
+        });
+  }
+
+  private void open(long nowMicros) {
+    become(State.OPENING, "claiming");
+    long sentAt = nowMicros;
+    state.openHold(
+        HOLD_MICROS / 1000,
+        1_500_000,
+        (now, status, body) -> {
+          if (status == 200) {
+            hold = body.path("hold").asLong();
+            holdSentAt = sentAt;
+            claim(now);
+          } else {
+            become(State.FOLLOWING, "no hold: " + status);
+            readAgainAt = now + 300_000;
+          }
+        });
+  }
+
+  private void claim(long nowMicros) {
+    become(State.CLAIMING, "hold open");
+    ObjectNode data = Codec.map().put("name", self).put("boot", boot);
+    state.commit(
+        List.of(new Condition(Keys.LEADER, 0)),
+        List.of(new Change(Keys.LEADER, data)),
+        hold,
+        1_500_000,
+        (now, status, body) -> {
+          if (status == 200) {
+            elected(now, body.path("ledger_rev").asLong());
+          } else {
+            become(State.VERIFYING, "claim answered " + status);
+            read(now);
+          }
+        });
+  }
+
+  private void elected(long nowMicros, long stamp) {
+    term = stamp;
+    leaderAbsent = false;
+    leader = self;
+    authorityUntil = holdSentAt + AUTHORITY_MICROS;
+    extending = false;
+    extendAt = nowMicros;
+    lastContact = nowMicros;
+    become(State.LEADING, "term " + term);
+    listener.onElected(nowMicros, term);
+    tick(nowMicros);
+  }
+
+  private void extend(long nowMicros) {
+    extending = true;
+    long sentAt = nowMicros;
+    long forTerm = term;
+    state.extendHold(
+        hold,
+        EXTEND_TIMEOUT,
+        (now, status, body) -> {
+          if (phase != State.LEADING || term != forTerm) {
+            return;
+          }
+          extending = false;
+          if (status == 200) {
+            lastContact = now;
+            authorityUntil = Math.max(authorityUntil, sentAt + AUTHORITY_MICROS);
+            extendAt = sentAt + EXTEND_EVERY;
+          } else if (status == 404) {
+            depose(now, "hold ended");
+          } else {
+            LOG.info("election: extension answered {}", status);
+            extendAt = now + EXTEND_RETRY;
+          }
+        });
+  }
+
+  private void depose(long nowMicros, String why) {
+    long old = term;
+    abandonClaim();
+    authorityUntil = 0;
+    leader = null;
+    become(State.FOLLOWING, why);
+    readAgainAt = nowMicros;
+    listener.onDeposed(nowMicros, old);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/dewreach/machine/Machine.java
@@ -0,0 +1,248 @@
+package org.dewreach.machine;
+
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+import org.dewreach.task.Task;
+import org.dewreach.wire.MachineType;
+import org.dewreach.wire.TaskName;
+
+/** A machine, with the tasks that are bound to it. */
+public final class Machine {
+  private final String name;
+  private final MachineType type;
+  private final String zone;
+  private final boolean spot;
+  private final Map<TaskName, Task> tasks = new LinkedHashMap<>();
+  private final Set<String> erredJobs = new HashSet<>();
+  private MachinePhase phase;
+  private String address;
+  private boolean recorded;
+  private boolean recording;
+  private long session = -1;
+  private long sequence = -1;
+  private long lastReport;
+  private long lastAnswer;
+  private long knownSince;
+  private long idleSince;
+  private long recallAt = -1;
+  private double usedCpus;
+  private double usedGpus;
+  private double usedMemoryGb;
+  private boolean setAside;
+  private boolean everUp;
+  private long refusedAt = Long.MIN_VALUE / 2;
+  private String drainReason = "";
+
+  public Machine(
+      String name,
+      String address,
+      MachineType type,
+      String zone,
+      boolean spot,
+      MachinePhase phase,
+      long nowMicros) {
+    this.name = name;
+    this.address = address;
+    this.type = type;
+    this.zone = zone;
+    this.spot = spot;
+    this.phase = phase;
+    this.knownSince = nowMicros;
+    this.idleSince = nowMicros;
+    this.lastReport = nowMicros;
+  }
+
+  /** The one function for every change of state. */
+  public void become(MachinePhase next, long nowMicros) {
+    if (phase == MachinePhase.GONE) {
+      throw new IllegalStateException(name + " is gone and cannot become " + next);
+    }
+    if (phase == next) {
+      return;
+    }
+    if (next == MachinePhase.UP && !everUp) {
+      everUp = true;
+      idleSince = nowMicros;
+    }
+    phase = next;
+  }
+
+  public String name() {
+    return name;
+  }
+
+  public String address() {
+    return address;
+  }
+
+  public void address(String newAddress) {
+    address = newAddress;
+  }
+
+  public MachineType type() {
+    return type;
+  }
+
+  public String zone() {
+    return zone;
+  }
+
+  public boolean spot() {
+    return spot;
+  }
+
+  public MachinePhase phase() {
+    return phase;
+  }
+
+  public boolean recorded() {
+    return recorded;
+  }
+
+  public void recorded(boolean now) {
+    recorded = now;
+  }
+
+  public boolean recording() {
+    return recording;
+  }
+
+  public void recording(boolean now) {
+    recording = now;
+  }
+
+  public long session() {
+    return session;
+  }
+
+  public long sequence() {
+    return sequence;
+  }
+
+  public long lastReport() {
+    return lastReport;
+  }
+
+  /** True if a report is newer than the last one taken. */
+  public boolean isNewer(long reportSession, long reportSequence) {
+    return reportSession > session || reportSession == session && reportSequence > sequence;
+  }
+
+  public void heard(long reportSession, long reportSequence, long nowMicros) {
+    session = reportSession;
+    sequence = reportSequence;
+    lastReport = nowMicros;
+  }
+
+  /** When a report was last answered with 200 under our term: the worker's lease runs from it. */
+  public long lastAnswer() {
+    return lastAnswer;
+  }
+
+  public void answered(long nowMicros) {
+    lastAnswer = nowMicros;
+  }
+
+  public long knownSince() {
+    return knownSince;
+  }
+
+  public void knownSince(long micros) {
+    knownSince = micros;
+  }
+
+  public long idleSince() {
+    return idleSince;
+  }
+
+  public long recallAt() {
+    return recallAt;
+  }
+
+  public void recallAt(long micros) {
+    recallAt = micros;
+  }
+
+  public boolean setAside() {
+    return setAside;
+  }
+
+  public void setAside(boolean now) {
+    setAside = now;
+  }
+
+  /** When its worker last refused a start that the books said would fit. */
+  public long refusedAt() {
+    return refusedAt;
+  }
+
+  public void refusedAt(long nowMicros) {
+    refusedAt = nowMicros;
+  }
+
+  public String drainReason() {
+    return drainReason;
+  }
+
+  public void drainReason(String why) {
+    drainReason = why;
+  }
+
+  /** Jobs whose tasks failed here since a task last completed here. */
+  public Set<String> erredJobs() {
+    return erredJobs;
+  }
+
+  public Collection<Task> tasks() {
+    return tasks.values();
+  }
+
+  public Task task(TaskName taskName) {
+    return tasks.get(taskName);
+  }
+
+  public void bind(Task task) {
+    if (tasks.put(task.name(), task) != null) {
+      throw new IllegalStateException(task.name() + " is bound to " + name + " already");
+    }
+    usedCpus += task.spec().cpus();
+    usedGpus += task.spec().gpus();
+    usedMemoryGb += task.spec().memoryGb();
+  }
+
+  public void unbind(Task task, long nowMicros) {
+    if (!tasks.remove(task.name(), task)) {
+      throw new IllegalStateException(task.name() + " is not bound to " + name);
+    }
+    usedCpus -= task.spec().cpus();
+    usedGpus -= task.spec().gpus();
+    usedMemoryGb -= task.spec().memoryGb();
+    if (tasks.isEmpty()) {
+      // Sums of decimal amounts keep a rest; an empty machine is free in full.
+      usedCpus = 0;
+      usedGpus = 0;
+      usedMemoryGb = 0;
+      idleSince = nowMicros;
+    }
+  }
+
+  public double freeCpus() {
+    return type.cpus() - usedCpus;
+  }
+
+  public double freeGpus() {
+    return type.gpus() - usedGpus;
+  }
+
+  public double freeMemoryGb() {
+    return type.memoryGb() - usedMemoryGb;
+  }
+
+  /** True if new tasks may be placed here. */
+  public boolean usable() {
+    return phase == MachinePhase.UP && recorded && !setAside && recallAt < 0;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/dewreach/machine/MachinePhase.java
@@ -0,0 +1,19 @@
+package org.dewreach.machine;
+
+/** Named states of a machine in the leader's books. */
+public enum MachinePhase {
+  /** Rented; it has never reported. */
+  BOOTING,
+  /** Recorded by an earlier leader and not heard of under this term: anything may run there. */
+  UNHEARD,
+  /** It reports, but saw our token only with the last answer: its task list may be outdated. */
+  GREETED,
+  /** It reports under our term: its task list is the truth. */
+  UP,
+  /** No new tasks; it is returned once it is empty, or taken away. */
+  DRAINING,
+  /** Its return was asked for and is not confirmed. */
+  RETURNING,
+  /** Gone for sure, with everything on it. */
+  GONE
+}
--- /dev/null
+++ b/src/main/java/org/dewreach/net/HttpClient.java
@@ -0,0 +1,272 @@
+package org.dewreach.net;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.dewreach.config.Settings;
+
+/**
+ * Calls other hosts, with a bounded number of kept connections to each.
+ *
+ * <p>Used on the event loop only. Every call ends with exactly one outcome, at the latest when its
+ * time is up; the connection is then closed, since its answer could be taken for another's.
+ */
+public final class HttpClient {
+  /** Watches and machine lists may be long; far above anything these services are to send. */
+  private static final int MOST_RESPONSE = 8 * 1024 * 1024;
+
+  private static final int MOST_QUEUED = 500;
+
+  /** Takes the outcome; status 0 if no response came. */
+  @FunctionalInterface
+  public interface Outcome {
+    void on(int status, JsonNode body);
+  }
+
+  private final EventLoopGroup loop;
+  private final int mostPerHost;
+  private final Map<Settings.Address, Pool> pools = new HashMap<>();
+
+  public HttpClient(EventLoopGroup loop, int mostPerHost) {
+    this.loop = loop;
+    this.mostPerHost = mostPerHost;
+  }
+
+  public void call(
+      Settings.Address address,
+      Bodies bodies,
+      String method,
+      String path,
+      JsonNode body,
+      long timeoutMicros,
+      Outcome outcome) {
+    Call call = new Call(bodies, method, path, body, outcome);
+    Pool pool = pools.computeIfAbsent(address, Pool::new);
+    call.timer =
+        loop.schedule(() -> pool.timedOut(call), timeoutMicros, TimeUnit.MICROSECONDS);
+    pool.submit(call);
+  }
+
+  private static final class Call {
+    final Bodies bodies;
+    final String method;
+    final String path;
+    final JsonNode body;
+    final Outcome outcome;
+    ScheduledFuture<?> timer;
+    Connection connection;
+    boolean ended;
+
+    Call(Bodies bodies, String method, String path, JsonNode body, Outcome outcome) {
+      this.bodies = bodies;
+      this.method = method;
+      this.path = path;
+      this.body = body;
+      this.outcome = outcome;
+    }
+
+    void end(int status, JsonNode answer) {
+      if (!ended) {
+        ended = true;
+        timer.cancel(false);
+        outcome.on(status, answer);
+      }
+    }
+  }
+
+  /** The connections to one host. */
+  private final class Pool {
+    final Settings.Address address;
+    final Deque<Connection> idle = new ArrayDeque<>();
+    final Deque<Call> queued = new ArrayDeque<>();
+    int open;
+
+    Pool(Settings.Address address) {
+      this.address = address;
+    }
+
+    void submit(Call call) {
+      Connection connection = idle.pollLast();
+      if (connection != null) {
+        connection.send(call);
+      } else if (open < mostPerHost) {
+        open++;
+        connect(call);
+      } else if (queued.size() < MOST_QUEUED) {
+        queued.add(call);
+      } else {
+        // Not at once: the caller may be in the middle of its own work.
+        loop.execute(() -> call.end(0, null));
+      }
+    }
+
+    void connect(Call call) {
+      Connection connection = new Connection(this);
+      connection.current = call;
+      call.connection = connection;
+      Bootstrap bootstrap =
+          new Bootstrap()
+              .group(loop)
+              .channel(NioSocketChannel.class)
+              .option(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false))
+              .option(ChannelOption.TCP_NODELAY, true)
+              .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 3_000)
+              .handler(
+                  new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel channel) {
+                      channel
+                          .pipeline()
+                          .addLast(new HttpClientCodec(2048, 4096, 8192))
+                          .addLast(new HttpObjectAggregator(MOST_RESPONSE))
+                          .addLast(connection);
+                    }
+                  });
+      ChannelFuture future = bootstrap.connect(address.host(), address.port());
+      connection.channel = future.channel();
+      connection.channel.closeFuture().addListener(closed -> connection.closed());
+      future.addListener(
+          connected -> {
+            if (connected.isSuccess() && !call.ended) {
+              connection.send(call);
+            } else if (connected.isSuccess()) {
+              connection.release();
+            }
+          });
+    }
+
+    void timedOut(Call call) {
+      queued.remove(call);
+      if (call.connection != null) {
+        call.connection.close();
+      }
+      call.end(0, null);
+    }
+
+    void freed(Connection connection) {
+      Call next = queued.poll();
+      if (next != null) {
+        connection.send(next);
+      } else {
+        idle.addLast(connection);
+      }
+    }
+
+    void lost(Connection connection) {
+      open--;
+      idle.remove(connection);
+      Call next = queued.poll();
+      if (next != null) {
+        submit(next);
+      }
+    }
+  }
+
+  /** One connection; at most one call is on it. */
+  private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
+    private final Pool pool;
+    private Channel channel;
+    private Call current;
+    private boolean gone;
+
+    Connection(Pool pool) {
+      this.pool = pool;
+    }
+
+    void send(Call call) {
+      current = call;
+      call.connection = this;
+      byte[] content = call.body == null ? new byte[0] : call.bodies.write(call.body);
+      FullHttpRequest request =
+          new DefaultFullHttpRequest(
+              HttpVersion.HTTP_1_1,
+              HttpMethod.valueOf(call.method),
+              call.path,
+              Unpooled.wrappedBuffer(content));
+      request.headers().set(HttpHeaderNames.HOST, pool.address.toString());
+      request.headers().set(HttpHeaderNames.CONTENT_TYPE, call.bodies.mediaType());
+      HttpUtil.setContentLength(request, content.length);
+      channel.writeAndFlush(request);
+    }
+
+    void release() {
+      current = null;
+      if (gone) {
+        return;
+      }
+      if (channel.isActive()) {
+        pool.freed(this);
+      } else {
+        close();
+      }
+    }
+
+    void close() {
+      if (channel != null) {
+        channel.close();
+      }
+    }
+
+    void closed() {
+      if (gone) {
+        return;
+      }
+      gone = true;
+      Call call = current;
+      current = null;
+      pool.lost(this);
+      if (call != null) {
+        call.end(0, null);
+      }
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
+      Call call = current;
+      if (call == null) {
+        close();
+        return;
+      }
+      JsonNode body = call.bodies.readOrNull(ByteBufUtil.getBytes(response.content()));
+      int status = response.status().code();
+      if (HttpUtil.isKeepAlive(response)) {
+        release();
+      } else {
+        current = null;
+        close();
+      }
+      call.end(status, body);
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      context.close();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/dewreach/net/HttpServer.java
@@ -0,0 +1,163 @@
+package org.dewreach.net;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.timeout.ReadTimeoutHandler;
+import java.util.concurrent.TimeUnit;
+import org.dewreach.config.Settings;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Serves one address. Requests on a connection are answered in order; none is pipelined. */
+public final class HttpServer {
+  private static final Logger LOG = LoggerFactory.getLogger(HttpServer.class);
+  private static final int MOST_BODY = 64 * 1024;
+
+  /** Users poll about every 5 s and workers report more often: silent for this long is gone. */
+  private static final int IDLE_S = 90;
+
+  /** Takes requests; the answer may come at once or later, on the event loop. */
+  @FunctionalInterface
+  public interface Handler {
+    void on(String method, String path, JsonNode body, Reply reply);
+  }
+
+  /** Sends the answer to one request. */
+  @FunctionalInterface
+  public interface Reply {
+    void send(int status, JsonNode body, int retryAfterS);
+  }
+
+  private final Bodies bodies;
+  private final Handler handler;
+  private final int mostConnections;
+  private int connections;
+
+  public HttpServer(Bodies bodies, Handler handler, int mostConnections) {
+    this.bodies = bodies;
+    this.handler = handler;
+    this.mostConnections = mostConnections;
+  }
+
+  /** Starts listening; throws if the address cannot be had. */
+  public Channel listen(EventLoopGroup loop, Settings.Address address) throws InterruptedException {
+    ServerBootstrap bootstrap =
+        new ServerBootstrap()
+            .group(loop)
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_BACKLOG, 256)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .option(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false))
+            .childOption(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false))
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(
+                new ChannelInitializer<SocketChannel>() {
+                  @Override
+                  protected void initChannel(SocketChannel channel) {
+                    accept(channel);
+                  }
+                });
+    return bootstrap.bind(address.host(), address.port()).sync().channel();
+  }
+
+  private void accept(SocketChannel channel) {
+    if (connections >= mostConnections) {
+      // Sockets are kept for workers' calls, the state service and the cloud.
+      channel.close();
+      return;
+    }
+    connections++;
+    channel.closeFuture().addListener(future -> connections--);
+    channel
+        .pipeline()
+        .addLast(new ReadTimeoutHandler(IDLE_S, TimeUnit.SECONDS))
+        .addLast(new HttpServerCodec(2048, 4096, 8192))
+        .addLast(new Aggregator())
+        .addLast(new Requests());
+  }
+
+  private static final class Aggregator extends HttpObjectAggregator {
+    Aggregator() {
+      super(MOST_BODY);
+    }
+
+    @Override
+    protected void handleOversizedMessage(ChannelHandlerContext context, HttpMessage oversized) {
+      // The protocol calls this malformed (400), where HTTP would say 413.
+      FullHttpResponse response = plain(HttpResponseStatus.BAD_REQUEST, Unpooled.EMPTY_BUFFER);
+      response.headers().set(HttpHeaderNames.CONNECTION, "close");
+      context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+    }
+  }
+
+  private static FullHttpResponse plain(
+      HttpResponseStatus status, io.netty.buffer.ByteBuf content) {
+    FullHttpResponse response =
+        new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, content);
+    HttpUtil.setContentLength(response, content.readableBytes());
+    return response;
+  }
+
+  private final class Requests extends SimpleChannelInboundHandler<FullHttpRequest> {
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+      boolean keepAlive = HttpUtil.isKeepAlive(request);
+      if (request.decoderResult().isFailure()) {
+        send(context, 400, null, 0, false);
+        return;
+      }
+      JsonNode body = bodies.readOrNull(ByteBufUtil.getBytes(request.content()));
+      handler.on(
+          request.method().name(),
+          request.uri(),
+          body,
+          (status, answer, retryAfterS) -> send(context, status, answer, retryAfterS, keepAlive));
+    }
+
+    private void send(
+        ChannelHandlerContext context, int status, JsonNode body, int retryAfterS, boolean keep) {
+      byte[] content = body == null ? new byte[0] : bodies.write(body);
+      FullHttpResponse response =
+          plain(HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(content));
+      response.headers().set(HttpHeaderNames.CONTENT_TYPE, bodies.mediaType());
+      if (retryAfterS > 0) {
+        response.headers().set(HttpHeaderNames.RETRY_AFTER, retryAfterS);
+      }
+      if (!keep) {
+        response.headers().set(HttpHeaderNames.CONNECTION, "close");
+      }
+      var sent = context.writeAndFlush(response);
+      if (!keep) {
+        sent.addListener(ChannelFutureListener.CLOSE);
+      }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      LOG.debug("connection closed: {}", cause.toString());
+      context.close();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/dewreach/net/Node.java
@@ -0,0 +1,117 @@
+package org.dewreach.net;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import it.unimi.dsi.fastutil.longs.Long2ObjectOpenHashMap;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import org.dewreach.config.Settings;
+import org.dewreach.controller.Core;
+import org.dewreach.port.Effect;
+import org.dewreach.port.Event;
+import org.dewreach.port.Target;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** A running controller: the core on an event loop, with its servers and its client. */
+public final class Node {
+  private static final Logger LOG = LoggerFactory.getLogger(Node.class);
+  private static final long TICK_MS = 50;
+
+  /** Calls to one host at a time; a watch occupies one of them. */
+  private static final int MOST_CALLS_PER_HOST = 16;
+
+  private final Settings settings;
+  private final EventLoopGroup loop;
+  private final HttpClient client;
+  private final Core core;
+  private final Map<String, Settings.Address> members = new HashMap<>();
+  private final Long2ObjectOpenHashMap<HttpServer.Reply> requests = new Long2ObjectOpenHashMap<>();
+  private final long startNanos = System.nanoTime();
+  private long lastRequest;
+
+  public Node(Settings settings) {
+    this.settings = settings;
+    this.loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    this.client = new HttpClient(loop, MOST_CALLS_PER_HOST);
+    long wallMicros = System.currentTimeMillis() * 1000;
+    // Two processes of a node are told apart by their start; the clock alone may step back.
+    String boot =
+        Long.toString(wallMicros, 36) + "-" + Long.toString(ProcessHandle.current().pid(), 36)
+            + "-" + Long.toString(startNanos, 36);
+    this.core = new Core(settings, boot, new Random(boot.hashCode()), wallMicros);
+    settings.members().forEach(member -> members.put(member.name(), member.address()));
+  }
+
+  private long now() {
+    return (System.nanoTime() - startNanos) / 1000;
+  }
+
+  /** Starts serving. */
+  public void start() throws InterruptedException {
+    int most = settings.limits().maxConnections();
+    // A quarter is kept for calls out, peers and the health check.
+    HttpServer clients =
+        new HttpServer(Bodies.CBOR, (m, p, b, r) -> request(Event.Source.PUBLIC, m, p, b, r), most * 3 / 4);
+    HttpServer peers =
+        new HttpServer(Bodies.MESSAGE_PACK, (m, p, b, r) -> request(Event.Source.PEER, m, p, b, r), 64);
+    peers.listen(loop, settings.internalListen());
+    clients.listen(loop, settings.clientListen());
+    loop.scheduleAtFixedRate(
+        () -> handle(new Event.Tick()), 0, TICK_MS, TimeUnit.MILLISECONDS);
+    LOG.info("node {} serves users at {}", settings.name(), settings.clientListen());
+  }
+
+  private void request(
+      Event.Source source, String method, String path, JsonNode body, HttpServer.Reply reply) {
+    long id = ++lastRequest;
+    requests.put(id, reply);
+    handle(new Event.Request(id, source, method, path, body));
+  }
+
+  private void handle(Event event) {
+    try {
+      core.handle(now(), event).forEach(this::carryOut);
+    } catch (RuntimeException e) {
+      // The books may be half changed: ending here lets a clean start rebuild them.
+      LOG.error("the core failed on {}: ending this process", event.getClass().getSimpleName(), e);
+      Runtime.getRuntime().halt(70);
+    }
+  }
+
+  private void carryOut(Effect effect) {
+    if (effect instanceof Effect.Respond respond) {
+      HttpServer.Reply reply = requests.remove(respond.requestId());
+      if (reply != null) {
+        reply.send(respond.status(), respond.body(), respond.retryAfterS());
+      }
+    } else if (effect instanceof Effect.Call call) {
+      Target target = call.target();
+      client.call(
+          address(target),
+          target instanceof Target.Member ? Bodies.MESSAGE_PACK : Bodies.CBOR,
+          call.method(),
+          call.path(),
+          call.body(),
+          call.timeoutMicros(),
+          (status, body) -> handle(new Event.Reply(call.callId(), status, body)));
+    }
+  }
+
+  private Settings.Address address(Target target) {
+    if (target instanceof Target.Member member) {
+      return members.get(member.name());
+    }
+    if (target instanceof Target.Worker worker) {
+      int colon = worker.address().lastIndexOf(':');
+      return new Settings.Address(
+          worker.address().substring(0, colon),
+          Integer.parseInt(worker.address().substring(colon + 1)));
+    }
+    return target instanceof Target.Cloud ? settings.cloud() : settings.state();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/dewreach/peer/Forwarded.java
@@ -0,0 +1,30 @@
+package org.dewreach.peer;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+/** A user's request that a follower passes to the leader, and the leader's answer. */
+public final class Forwarded {
+  /** Where the leader takes forwarded requests. */
+  public static final String PATH = "/peer/user";
+
+  /** Where a node tells whom it takes for the leader. */
+  public static final String LEADER_PATH = "/peer/leader";
+
+  private Forwarded() {}
+
+  public static ObjectNode request(String method, String path, JsonNode body) {
+    ObjectNode node = JsonNodeFactory.instance.objectNode();
+    node.put("method", method).put("path", path);
+    node.set("body", body);
+    return node;
+  }
+
+  public static ObjectNode answer(int status, JsonNode body, int retryAfterS) {
+    ObjectNode node = JsonNodeFactory.instance.objectNode();
+    node.put("status", status).put("retry", retryAfterS);
+    node.set("body", body);
+    return node;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/dewreach/port/Target.java
@@ -0,0 +1,19 @@
+package org.dewreach.port;
+
+/** Whom a call is addressed to. */
+public sealed interface Target {
+  Target STATE = new State();
+  Target CLOUD = new Cloud();
+
+  /** The state service. */
+  record State() implements Target {}
+
+  /** The cloud. */
+  record Cloud() implements Target {}
+
+  /** Another controller, by its host name. */
+  record Member(String name) implements Target {}
+
+  /** A worker, by its address. */
+  record Worker(String address) implements Target {}
+}
--- /dev/null
+++ b/src/main/java/org/dewreach/port/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * What passes between the single-threaded core and the outside: events in, effects out.
+ *
+ * <p>The core sees sockets, clocks and other machines only through these types, so production and
+ * the tests' simulated world drive the same code.
+ */
+package org.dewreach.port;
--- /dev/null
+++ b/src/main/java/org/dewreach/store/Change.java
@@ -0,0 +1,10 @@
+package org.dewreach.store;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+/**
+ * One put or delete.
+ *
+ * @param data the new value, or null to delete
+ */
+public record Change(String key, ObjectNode data) {}
--- /dev/null
+++ b/src/main/java/org/dewreach/store/CommitQueue.java
@@ -0,0 +1,293 @@
+package org.dewreach.store;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.Iterator;
+import java.util.List;
+import org.dewreach.wire.Codec;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The leader's writes, grouped: what waits at the same time shares one transaction.
+ *
+ * <p>One transaction is in flight at a time, and each is conditional on the leader key's stamp. A
+ * transaction without a response is sent again unchanged until the outcome is sure. Each carries a
+ * mark in its values, by which an earlier copy that was applied after all is recognised.
+ */
+public final class CommitQueue {
+  private static final Logger LOG = LoggerFactory.getLogger(CommitQueue.class);
+  private static final long TIMEOUT = 1_200_000;
+  private static final long RETRY_PAUSE = 150_000;
+  private static final int MOST_WAITING = 4_000;
+  private static final int MOST_BYTES = 48 * 1024;
+
+  /** Field of every value that tells which transaction wrote it. */
+  public static final String MARK = "w";
+
+  private enum Phase {
+    IDLE,
+    SENT,
+    CHECKING,
+    PAUSED
+  }
+
+  private final StateService state;
+  private final Condition leader;
+  private final int txnOps;
+  private final RateBudget budget;
+  private final Runnable onLeaderLost;
+  private final Deque<Write> urgent = new ArrayDeque<>();
+  private final Deque<Write> relaxed = new ArrayDeque<>();
+
+  private Phase phase = Phase.IDLE;
+  private boolean closed;
+  private long pausedUntil;
+  private List<Write> batch = List.of();
+  private boolean unsure;
+  private String mark;
+  private long lastMark;
+
+  public CommitQueue(
+      StateService state,
+      Condition leader,
+      int txnOps,
+      RateBudget budget,
+      Runnable onLeaderLost) {
+    this.state = state;
+    this.leader = leader;
+    this.txnOps = txnOps;
+    this.budget = budget;
+    this.onLeaderLost = onLeaderLost;
+  }
+
+  public int waiting() {
+    return urgent.size() + relaxed.size() + batch.size();
+  }
+
+  /** False if the queue is full or closed; the write was not taken then. */
+  public boolean add(long nowMicros, Write write) {
+    if (closed || urgent.size() + relaxed.size() >= MOST_WAITING) {
+      return false;
+    }
+    (write.urgent() ? urgent : relaxed).add(write);
+    pump(nowMicros);
+    return true;
+  }
+
+  /** Called when time has passed. */
+  public void tick(long nowMicros) {
+    pump(nowMicros);
+  }
+
+  /** Gives up on everything: the term is over. */
+  public void close(long nowMicros) {
+    if (closed) {
+      return;
+    }
+    closed = true;
+    List<Write> left = new ArrayList<>(batch);
+    left.addAll(urgent);
+    left.addAll(relaxed);
+    batch = List.of();
+    urgent.clear();
+    relaxed.clear();
+    for (Write write : left) {
+      write.done().on(nowMicros, Write.Outcome.UNKNOWN, 0);
+    }
+  }
+
+  private void become(Phase next) {
+    phase = next;
+  }
+
+  private void pump(long nowMicros) {
+    if (closed || phase == Phase.SENT || phase == Phase.CHECKING) {
+      return;
+    }
+    if (phase == Phase.PAUSED) {
+      if (nowMicros < pausedUntil) {
+        return;
+      }
+      become(Phase.IDLE);
+      if (!batch.isEmpty()) {
+        send(nowMicros);
+        return;
+      }
+    }
+    int room = Math.min(txnOps, budget.available(nowMicros));
+    batch = gather(room);
+    if (batch.isEmpty()) {
+      return;
+    }
+    mark = leader.stamp() + "." + (++lastMark);
+    unsure = false;
+    for (Write write : batch) {
+      for (Change change : write.changes()) {
+        if (change.data() != null) {
+          change.data().put(MARK, mark);
+        }
+      }
+    }
+    send(nowMicros);
+  }
+
+  private List<Write> gather(int room) {
+    List<Write> gathered = new ArrayList<>();
+    int ops = 0;
+    int conditions = 1;
+    int bytes = 0;
+    for (Deque<Write> queue : List.of(urgent, relaxed)) {
+      while (!queue.isEmpty()) {
+        Write next = queue.peek();
+        int size = size(next);
+        boolean fits =
+            ops + next.changes().size() <= room
+                && conditions + next.conditions().size() <= 4 * txnOps
+                && bytes + size <= MOST_BYTES;
+        if (!fits && !gathered.isEmpty() || next.changes().size() > room) {
+          return gathered;
+        }
+        queue.poll();
+        gathered.add(next);
+        ops += next.changes().size();
+        conditions += next.conditions().size();
+        bytes += size;
+      }
+    }
+    return gathered;
+  }
+
+  private static int size(Write write) {
+    int bytes = 100;
+    for (Change change : write.changes()) {
+      bytes += 100 + (change.data() == null ? 0 : Codec.write(change.data()).length * 2);
+    }
+    return bytes;
+  }
+
+  private void send(long nowMicros) {
+    List<Condition> conditions = new ArrayList<>();
+    conditions.add(leader);
+    List<Change> changes = new ArrayList<>();
+    for (Write write : batch) {
+      conditions.addAll(write.conditions());
+      changes.addAll(write.changes());
+    }
+    budget.take(nowMicros, changes.size());
+    become(Phase.SENT);
+    state.commit(conditions, changes, 0, TIMEOUT, this::onReply);
+  }
+
+  private void onReply(long nowMicros, int status, JsonNode body) {
+    if (closed) {
+      return;
+    }
+    switch (status) {
+      case 200 -> finish(nowMicros, body.path("ledger_rev").asLong());
+      case 409 -> onConflict(nowMicros, body);
+      case 0 -> {
+        unsure = true;
+        pause(nowMicros);
+      }
+      case 429, 503 -> pause(nowMicros);
+      default -> {
+        // A transaction that the service calls malformed would block the queue for ever.
+        LOG.error("state service refuses a transaction with {}: dropping {}", status, batch);
+        List<Write> dropped = batch;
+        batch = List.of();
+        become(Phase.IDLE);
+        dropped.forEach(write -> write.done().on(nowMicros, Write.Outcome.CONFLICT, 0));
+        pump(nowMicros);
+      }
+    }
+  }
+
+  private void pause(long nowMicros) {
+    pausedUntil = nowMicros + RETRY_PAUSE;
+    become(Phase.PAUSED);
+  }
+
+  private void finish(long nowMicros, long revision) {
+    List<Write> written = batch;
+    batch = List.of();
+    become(Phase.IDLE);
+    for (Write write : written) {
+      write.done().on(nowMicros, Write.Outcome.WRITTEN, revision);
+    }
+    pump(nowMicros);
+  }
+
+  private void onConflict(long nowMicros, JsonNode body) {
+    if (StateService.failed(body, leader.key())) {
+      onLeaderLost.run();
+      return;
+    }
+    Change put = unsure ? firstPut() : null;
+    if (put == null) {
+      dropFailed(nowMicros, body);
+      return;
+    }
+    // An earlier copy may have been applied: its mark tells.
+    become(Phase.CHECKING);
+    state.get(put.key(), (now, status, value) -> onChecked(now, status, value, body));
+  }
+
+  private void onChecked(long nowMicros, int status, JsonNode value, JsonNode conflict) {
+    if (closed) {
+      return;
+    }
+    if (status == 200 && mark.equals(value.path("data").path(MARK).asText())) {
+      finish(nowMicros, value.path("stamp").asLong());
+    } else if (status == 200 || status == 404) {
+      dropFailed(nowMicros, conflict);
+    } else {
+      pause(nowMicros);
+    }
+  }
+
+  private Change firstPut() {
+    for (Write write : batch) {
+      for (Change change : write.changes()) {
+        if (change.data() != null) {
+          return change;
+        }
+      }
+    }
+    return null;
+  }
+
+  /** Takes the writes whose own conditions failed out of the batch and sends the rest anew. */
+  private void dropFailed(long nowMicros, JsonNode conflict) {
+    List<Write> dropped = new ArrayList<>();
+    List<Write> kept = new ArrayList<>();
+    for (Write write : batch) {
+      boolean failed =
+          write.conditions().stream().anyMatch(c -> StateService.failed(conflict, c.key()));
+      (failed ? dropped : kept).add(write);
+    }
+    if (dropped.isEmpty()) {
+      // The service may name only some keys; without any of ours the batch cannot make progress.
+      dropped = kept;
+      kept = List.of();
+    }
+    batch = List.of();
+    become(Phase.IDLE);
+    for (Iterator<Write> it = new ArrayDeque<>(kept).descendingIterator(); it.hasNext(); ) {
+      Write write = it.next();
+      (write.urgent() ? urgent : relaxed).addFirst(write);
+    }
+    for (Write write : dropped) {
+      write.done().on(nowMicros, Write.Outcome.CONFLICT, 0);
+    }
+    pump(nowMicros);
+  }
+
+  /** A value for a write; the queue adds its mark. */
+  public static ObjectNode value() {
+    return Codec.map();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/dewreach/store/Keys.java
@@ -0,0 +1,30 @@
+package org.dewreach.store;
+
+/** The layout of our keys. */
+public final class Keys {
+  public static final String LEADER = "dw/leader";
+  public static final String CATALOG = "dw/catalog";
+
+  /** Jobs that are not over: description, withdrawal, tasks done. */
+  public static final String JOBS = "dw/job/";
+
+  /** Final states of jobs, kept for ever. */
+  public static final String OVER = "dw/over/";
+
+  /** Machines that may have been given commands. */
+  public static final String MACHINES = "dw/machine/";
+
+  private Keys() {}
+
+  public static String job(String id) {
+    return JOBS + id;
+  }
+
+  public static String over(String id) {
+    return OVER + id;
+  }
+
+  public static String machine(String name) {
+    return MACHINES + name;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/dewreach/store/RateBudget.java
@@ -0,0 +1,43 @@
+package org.dewreach.store;
+
+/** A token bucket in event time: a rate with bursts of a second's worth. */
+public final class RateBudget {
+  private final double perMicro;
+  private final double most;
+  private double tokens;
+  private long lastMicros;
+
+  public RateBudget(double perSecond, double burst) {
+    this.perMicro = perSecond / 1e6;
+    this.most = Math.max(1, burst);
+    this.tokens = this.most;
+  }
+
+  private void refill(long nowMicros) {
+    if (nowMicros > lastMicros) {
+      tokens = Math.min(most, tokens + (nowMicros - lastMicros) * perMicro);
+      lastMicros = nowMicros;
+    }
+  }
+
+  /** Whole tokens that are available now. */
+  public int available(long nowMicros) {
+    refill(nowMicros);
+    return (int) tokens;
+  }
+
+  /** Takes tokens, also into debt, so that a large request is possible but paid for. */
+  public void take(long nowMicros, double count) {
+    refill(nowMicros);
+    tokens -= count;
+  }
+
+  /** Takes one token if there is one. */
+  public boolean tryTake(long nowMicros) {
+    if (available(nowMicros) < 1) {
+      return false;
+    }
+    tokens -= 1;
+    return true;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/dewreach/task/Task.java
@@ -0,0 +1,105 @@
+package org.dewreach.task;
+
+import org.dewreach.job.Job;
+import org.dewreach.machine.Machine;
+import org.dewreach.wire.JobRequest;
+import org.dewreach.wire.TaskName;
+
+/** One attempt of a task, bound to a machine until it is proven gone from there. */
+public final class Task {
+  private final Job job;
+  private final int index;
+  private final long attempt;
+  private final Machine machine;
+  private TaskPhase phase;
+  private long phaseSince;
+  private long boundAt;
+  private long startedAt;
+  private long sentSequence = -1;
+  private boolean completed;
+
+  public Task(
+      Job job, int index, long attempt, Machine machine, TaskPhase phase, long nowMicros) {
+    this.job = job;
+    this.index = index;
+    this.attempt = attempt;
+    this.machine = machine;
+    this.phase = phase;
+    this.phaseSince = nowMicros;
+    this.boundAt = nowMicros;
+  }
+
+  /** The one function for every change of state. */
+  public void become(TaskPhase next, long nowMicros) {
+    if (phase == TaskPhase.GONE) {
+      throw new IllegalStateException(name() + " is gone and cannot become " + next);
+    }
+    if (phase == next) {
+      return;
+    }
+    if (next == TaskPhase.RUNNING) {
+      startedAt = nowMicros;
+    }
+    phase = next;
+    phaseSince = nowMicros;
+  }
+
+  public Job job() {
+    return job;
+  }
+
+  public JobRequest spec() {
+    return job.spec();
+  }
+
+  public int index() {
+    return index;
+  }
+
+  public long attempt() {
+    return attempt;
+  }
+
+  public Machine machine() {
+    return machine;
+  }
+
+  public TaskPhase phase() {
+    return phase;
+  }
+
+  public long phaseSince() {
+    return phaseSince;
+  }
+
+  public long boundAt() {
+    return boundAt;
+  }
+
+  /** When it was first seen running, or 0. */
+  public long startedAt() {
+    return startedAt;
+  }
+
+  /** Sequence number of the report that the start was last sent in answer to, or -1. */
+  public long sentSequence() {
+    return sentSequence;
+  }
+
+  public void sentInAnswerTo(long sequence) {
+    sentSequence = sequence;
+  }
+
+  /** True if it exited because it had completed. */
+  public boolean completed() {
+    return completed;
+  }
+
+  public void markCompleted() {
+    completed = true;
+  }
+
+  public TaskName name() {
+    return new TaskName(job.id(), index);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/dewreach/task/TaskPhase.java
@@ -0,0 +1,19 @@
+package org.dewreach.task;
+
+/** Named states of a task that is bound to a machine. Unbound tasks need no record. */
+public enum TaskPhase {
+  /** Room is taken in the leader's record; no start was sent yet. */
+  ASSIGNED,
+  /** A start was sent; no report shows the task yet. */
+  STARTING,
+  /** The machine fetches the image. */
+  PULLING,
+  /** The task runs. */
+  RUNNING,
+  /** The task is to be stopped, or saves because it was told to stop. */
+  STOPPING,
+  /** The task exited on its machine; its record there is still to be cleared. */
+  EXITED,
+  /** Proven gone from the machine; the record is dropped. */
+  GONE
+}
--- /dev/null
+++ b/src/main/java/org/dewreach/task/package-info.java
@@ -0,0 +1,2 @@
+/** Tasks that are bound to a machine, and what is known of them there. */
+package org.dewreach.task;
--- /dev/null
+++ b/src/main/java/org/dewreach/wire/JobRequest.java
@@ -0,0 +1,119 @@
+package org.dewreach.wire;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.regex.Pattern;
+
+/**
+ * A job as its user describes it (`POST /work`).
+ *
+ * @param types allowed machine types, or null for any
+ * @param zone the only allowed zone, or null
+ * @param dueMicros when the job should be complete, from its submission, or -1
+ */
+public record JobRequest(
+    String id,
+    String lane,
+    String team,
+    Shape shape,
+    Urgency urgency,
+    int tasks,
+    double cpus,
+    double gpus,
+    double memoryGb,
+    String image,
+    double imageGb,
+    List<String> types,
+    String zone,
+    boolean together,
+    boolean scatter,
+    boolean spot,
+    long expectedMicros,
+    long checkpointMicros,
+    long saveMicros,
+    long dueMicros) {
+
+  private static final int MOST_TASKS = 100_000;
+  private static final Pattern ID = Pattern.compile("req-[0-9A-Za-z]{1,40}");
+
+  /** True if the text has the form of a job id; no job with another form can exist. */
+  public static boolean isId(String text) {
+    return ID.matcher(text).matches();
+  }
+
+  public static JobRequest parse(JsonNode body) throws MalformedException {
+    ObjectNode map = Fields.map(body);
+    String id = Fields.text(map, "uid");
+    if (!isId(id)) {
+      throw new MalformedException("uid: not a job id");
+    }
+    double cpus = Fields.amount(map, "cpus");
+    if (cpus <= 0) {
+      throw new MalformedException("cpus: must be more than 0");
+    }
+    return new JobRequest(
+        id,
+        Fields.text(map, "lane"),
+        Fields.text(map, "desk"),
+        Shape.of(Fields.text(map, "shape")),
+        Urgency.of(Fields.text(map, "urgency")),
+        (int) Fields.count(map, "pieces", 1, MOST_TASKS),
+        cpus,
+        Fields.amount(map, "cards"),
+        Fields.amount(map, "memory_gb"),
+        Fields.text(map, "bundle"),
+        Fields.amount(map, "pull_gb"),
+        names(map, "builds"),
+        Fields.textOrNull(map, "site"),
+        Fields.flag(map, "together"),
+        Fields.flag(map, "scatter"),
+        Fields.flag(map, "loaners"),
+        Fields.micros(map, "expected_s"),
+        Fields.micros(map, "mark_every_s"),
+        Fields.micros(map, "mark_cost_s"),
+        Fields.microsOrNone(map, "due_s"));
+  }
+
+  private static List<String> names(ObjectNode map, String name) throws MalformedException {
+    if (Fields.absent(map, name)) {
+      return null;
+    }
+    if (!(map.get(name) instanceof ArrayNode list) || list.size() > 100) {
+      throw new MalformedException(name + ": short list expected");
+    }
+    List<String> names = new ArrayList<>(list.size());
+    for (JsonNode item : list) {
+      if (!item.isTextual() || item.textValue().isEmpty() || item.textValue().length() > 200) {
+        throw new MalformedException(name + ": text expected");
+      }
+      names.add(item.textValue());
+    }
+    return List.copyOf(names);
+  }
+
+  public ObjectNode toNode() {
+    ObjectNode map = Codec.map();
+    map.put("uid", id).put("lane", lane).put("desk", team);
+    map.put("shape", shape.word()).put("urgency", urgency.word()).put("pieces", tasks);
+    map.put("cpus", cpus).put("cards", gpus).put("memory_gb", memoryGb);
+    map.put("bundle", image).put("pull_gb", imageGb);
+    if (types == null) {
+      map.putNull("builds");
+    } else {
+      ArrayNode list = map.putArray("builds");
+      types.forEach(list::add);
+    }
+    map.put("site", zone).put("together", together).put("scatter", scatter).put("loaners", spot);
+    map.put("expected_s", expectedMicros / 1e6).put("mark_every_s", checkpointMicros / 1e6);
+    map.put("mark_cost_s", saveMicros / 1e6);
+    if (dueMicros >= 0) {
+      map.put("due_s", dueMicros / 1e6);
+    } else {
+      map.putNull("due_s");
+    }
+    return map;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/dewreach/wire/Order.java
@@ -0,0 +1,43 @@
+package org.dewreach.wire;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+/** A command to a worker. */
+public sealed interface Order {
+  TaskName task();
+
+  long attempt();
+
+  ObjectNode toNode();
+
+  /** Start a task. Has no effect if the worker knows this attempt already. */
+  record Start(TaskName task, long attempt) implements Order {
+    @Override
+    public ObjectNode toNode() {
+      return base("start", this);
+    }
+  }
+
+  /** Stop a task, leaving it the given time to save. */
+  record Halt(TaskName task, long attempt, long graceMicros) implements Order {
+    @Override
+    public ObjectNode toNode() {
+      return base("halt", this).put("wind_down_s", graceMicros / 1e6);
+    }
+  }
+
+  /** Remove an exited task from the reports. */
+  record Clear(TaskName task, long attempt) implements Order {
+    @Override
+    public ObjectNode toNode() {
+      return base("clear", this);
+    }
+  }
+
+  private static ObjectNode base(String verb, Order order) {
+    return Codec.map()
+        .put("verb", verb)
+        .put("piece", order.task().toString())
+        .put("try", order.attempt());
+  }
+}
--- /dev/null
+++ b/src/main/java/org/dewreach/wire/WorkerReport.java
@@ -0,0 +1,100 @@
+package org.dewreach.wire;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * A worker's report (`POST /hello`).
+ *
+ * @param session increases each time the worker's lease expires
+ * @param sequence orders the reports of one session
+ * @param token the highest token the worker has seen
+ * @param recallMicros time until the cloud takes the machine away, or -1
+ */
+public record WorkerReport(
+    String machine,
+    String address,
+    String type,
+    String zone,
+    boolean spot,
+    long session,
+    long sequence,
+    long token,
+    long recallMicros,
+    List<ReportedTask> tasks) {
+
+  /** What a task is doing on its machine. */
+  public enum TaskState {
+    PULLING,
+    RUNNING,
+    FLUSHING,
+    EXITED
+  }
+
+  /** Why a task exited. */
+  public enum Cause {
+    NONE,
+    DONE,
+    STOPPED,
+    ERROR,
+    FULL,
+    IN_USE,
+    NO_SUCH
+  }
+
+  /** One task of a report. */
+  public record ReportedTask(TaskName name, long attempt, TaskState state, Cause cause) {}
+
+  public static WorkerReport parse(JsonNode body) throws MalformedException {
+    ObjectNode map = Fields.map(body);
+    if (!(map.get("pieces") instanceof ArrayNode list)) {
+      throw new MalformedException("pieces: list expected");
+    }
+    List<ReportedTask> tasks = new ArrayList<>(list.size());
+    for (JsonNode item : list) {
+      tasks.add(task(Fields.map(item)));
+    }
+    return new WorkerReport(
+        Fields.text(map, "host"),
+        Fields.text(map, "address"),
+        Fields.text(map, "build"),
+        Fields.text(map, "site"),
+        Fields.flag(map, "loaners"),
+        Fields.count(map, "tenure", 0, Long.MAX_VALUE),
+        Fields.count(map, "tally", 0, Long.MAX_VALUE),
+        Fields.count(map, "warrant", 0, Long.MAX_VALUE),
+        Fields.microsOrNone(map, "recall_s"),
+        tasks);
+  }
+
+  private static ReportedTask task(ObjectNode map) throws MalformedException {
+    TaskState state =
+        switch (Fields.text(map, "standing")) {
+          case "running" -> TaskState.RUNNING;
+          case "flushing" -> TaskState.FLUSHING;
+          case "exited" -> TaskState.EXITED;
+          // A state that this version does not know still occupies the machine.
+          default -> TaskState.PULLING;
+        };
+    Cause cause = Cause.NONE;
+    if (state == TaskState.EXITED) {
+      cause =
+          switch (String.valueOf(Fields.textOrNull(map, "cause"))) {
+            case "done" -> Cause.DONE;
+            case "error" -> Cause.ERROR;
+            case "full" -> Cause.FULL;
+            case "in_use" -> Cause.IN_USE;
+            case "no_such" -> Cause.NO_SUCH;
+            default -> Cause.STOPPED;
+          };
+    }
+    return new ReportedTask(
+        TaskName.parse(Fields.text(map, "piece")),
+        Fields.count(map, "try", 0, Long.MAX_VALUE),
+        state,
+        cause);
+  }
+}
