--- /dev/null
+++ b/src/test/java/org/dewreach/placement/SortFirstFitTest.java
@@ -0,0 +1,65 @@
+package org.dewreach.placement;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+
+import java.util.List;
+import org.dewreach.machine.Machine;
+import org.dewreach.machine.MachinePhase;
+import org.dewreach.wire.JobRequest;
+import org.dewreach.wire.MachineType;
+import org.dewreach.wire.Shape;
+import org.dewreach.wire.Urgency;
+import org.junit.jupiter.api.Test;
+
+class SortFirstFitTest {
+  private static Machine machine(String name, double cpus, double memory, double gpus) {
+    MachineType type =
+        new MachineType("t", cpus, gpus, memory, 10, 1, 1, 0.3, 1, List.of("a"));
+    Machine machine = new Machine(name, "", type, "a", false, MachinePhase.BOOTING, 0);
+    machine.recorded(true);
+    machine.become(MachinePhase.UP, 0);
+    return machine;
+  }
+
+  private static JobRequest task(double cpus, double memory, double gpus) {
+    return new JobRequest(
+        "req-1", "l", "t", Shape.SWEEP, Urgency.NORMAL, 1, cpus, gpus, memory, "i", 1, null, null,
+        false, false, false, 1, 0, 0, -1);
+  }
+
+  @Test
+  void largestCpuFirstThenMemoryThenName() {
+    SortFirstFit list = new SortFirstFit();
+    Machine small = machine("a", 8, 64, 0);
+    Machine bigLow = machine("b", 16, 32, 0);
+    Machine bigHigh2 = machine("d", 16, 64, 0);
+    Machine bigHigh1 = machine("c", 16, 64, 0);
+    List.of(small, bigLow, bigHigh2, bigHigh1).forEach(list::add);
+    assertEquals(List.of(bigHigh1, bigHigh2, bigLow, small), list.machines());
+    assertEquals(bigHigh1, list.firstFit(task(1, 1, 0), m -> true));
+  }
+
+  @Test
+  void allResourcesAreCheckedTogether() {
+    SortFirstFit list = new SortFirstFit();
+    Machine cpuOnly = machine("a", 32, 8, 0);
+    Machine gpu = machine("b", 8, 64, 2);
+    list.add(cpuOnly);
+    list.add(gpu);
+    assertEquals(gpu, list.firstFit(task(2, 16, 0), m -> true));
+    assertEquals(gpu, list.firstFit(task(2, 1, 1), m -> true));
+    assertNull(list.firstFit(task(16, 16, 0), m -> true));
+  }
+
+  @Test
+  void drainingMachinesTakeNothing() {
+    SortFirstFit list = new SortFirstFit();
+    Machine big = machine("a", 32, 64, 0);
+    Machine small = machine("b", 8, 64, 0);
+    list.add(big);
+    list.add(small);
+    big.become(MachinePhase.DRAINING, 1);
+    assertEquals(small, list.firstFit(task(1, 1, 0), m -> true));
+  }
+}
--- /dev/null
+++ b/src/test/java/org/dewreach/sim/CheckerTest.java
@@ -0,0 +1,102 @@
+package org.dewreach.sim;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
+import org.dewreach.wire.Codec;
+import org.junit.jupiter.api.Test;
+
+/** Each check fires when the fault is there that it is to find. */
+class CheckerTest {
+  private static final long S = 1_000_000;
+
+  private static void assertFinds(String rule, World world) {
+    List<String> broken = world.checker.broken;
+    assertTrue(
+        broken.stream().anyMatch(line -> line.startsWith(rule)), rule + " not among " + broken);
+  }
+
+  private static World busy(double limitFactor) {
+    World world = new World(7, limitFactor);
+    world.live(120 * S, 2 * S);
+    return world;
+  }
+
+  @Test
+  void ranTwice() {
+    World world = busy(1);
+    world.faults.hidesTasks = true;
+    world.play(150 * S);
+    assertFinds("ran_twice", world);
+  }
+
+  @Test
+  void quota() {
+    World world = busy(4);
+    world.play(150 * S);
+    assertFinds("quota", world);
+  }
+
+  @Test
+  void ranCancelled() {
+    World world = busy(1);
+    world.faults.ignoresHalts = true;
+    world.play(200 * S);
+    assertFinds("ran_cancelled", world);
+  }
+
+  @Test
+  void notDone() {
+    World world = busy(1);
+    world.faults.claimsDone = true;
+    world.play(150 * S);
+    assertFinds("not_done", world);
+  }
+
+  @Test
+  void wrongPlace() {
+    World world = busy(1);
+    world.users.tamper = body -> ((ObjectNode) body).putNull("site").putNull("builds");
+    world.play(200 * S);
+    assertFinds("wrong_place", world);
+  }
+
+  @Test
+  void forgotten() {
+    World world = busy(1);
+    world.play(60 * S);
+    for (String key : List.copyOf(world.state.keys.keySet())) {
+      if (key.startsWith("dw/job/") || key.startsWith("dw/over/")) {
+        world.state.damage(key, null);
+      }
+    }
+    World.NODES.forEach(node -> world.crash(node, S));
+    world.play(150 * S);
+    assertFinds("forgotten", world);
+  }
+
+  @Test
+  void invented() {
+    World world = busy(1);
+    for (int i = 0; i < 100; i++) {
+      world.state.damage("dw/over/req-none" + i, Codec.map().put("standing", "done").put("done", 1));
+    }
+    world.play(150 * S);
+    assertFinds("invented", world);
+  }
+
+  @Test
+  void wentBack() {
+    World world = busy(1);
+    world.play(100 * S);
+    for (String key : List.copyOf(world.state.keys.keySet())) {
+      if (key.startsWith("dw/over/")) {
+        world.state.damage(key, Codec.map().put("standing", "running").put("done", 1));
+      }
+    }
+    World.NODES.forEach(node -> world.crash(node, S));
+    world.play(200 * S);
+    assertFinds("went_back", world);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/dewreach/sim/Network.java
@@ -0,0 +1,47 @@
+package org.dewreach.sim;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Random;
+
+/** Delays, losses and cuts between named hosts. */
+final class Network {
+  private final Clock clock;
+  private final Random random;
+  private final Map<String, Long> cutUntil = new HashMap<>();
+  private final Map<String, Boolean> holds = new HashMap<>();
+  double lossRate;
+
+  Network(Clock clock, Random random) {
+    this.clock = clock;
+    this.random = random;
+  }
+
+  /** Cuts one direction; held packets arrive after the cut, others are lost. */
+  void cut(String from, String to, long untilMicros, boolean hold) {
+    cutUntil.put(from + ">" + to, untilMicros);
+    holds.put(from + ">" + to, hold);
+  }
+
+  /** Delivers, perhaps late, perhaps never. */
+  void send(String from, String to, Runnable delivery) {
+    String link = from + ">" + to;
+    long delay = 300 + random.nextInt(4_000);
+    if (random.nextInt(200) == 0) {
+      delay += random.nextInt(400_000);
+    }
+    long until = cutUntil.getOrDefault(link, 0L);
+    if (clock.now() < until) {
+      if (!holds.get(link)) {
+        return;
+      }
+      delay += until - clock.now();
+    } else if (random.nextDouble() < lossRate) {
+      if (random.nextBoolean()) {
+        return;
+      }
+      delay += random.nextInt(20_000_000);
+    }
+    clock.in(delay, delivery);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/dewreach/sim/RulesTest.java
@@ -0,0 +1,135 @@
+package org.dewreach.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Seeded days; the rules are checked after each step. A failing seed is in the test's name. */
+class RulesTest {
+  private static final long S = 1_000_000;
+
+  private static World day(long seed, boolean troubles) {
+    World world = new World(seed);
+    world.live(150 * S, 3 * S);
+    if (troubles) {
+      world.network.lossRate = 0.002;
+      trouble(world, 20 * S);
+    }
+    world.play(320 * S);
+    return world;
+  }
+
+  /** Draws troubles until the middle of the run, so that each run ends quietly. */
+  private static void trouble(World world, long at) {
+    if (at > 170 * S) {
+      return;
+    }
+    world.clock.at(at, () -> {
+      drawTrouble(world);
+      trouble(world, at + (long) (world.random.nextDouble() * 20 * S) + S);
+    });
+  }
+
+  private static void drawTrouble(World world) {
+    var random = world.random;
+    String node = World.NODES.get(random.nextInt(3));
+    String leader = world.leading();
+    List<SimWorker> workers = world.workers();
+    SimWorker worker = workers.isEmpty() ? null : workers.get(random.nextInt(workers.size()));
+    long now = world.clock.now();
+    boolean hold = random.nextBoolean();
+    switch (random.nextInt(12)) {
+      case 0 -> world.crash(node, 200_000 + random.nextInt(8_000_000));
+      case 1 -> World.NODES.forEach(n -> world.crash(n, 200_000 + random.nextInt(8_000_000)));
+      case 2 -> world.state.outage(5 * S + random.nextInt(20_000_000));
+      case 3 -> world.state.refuse(leader == null ? node : leader, now + random.nextInt(15_000_000));
+      case 4 -> {
+        world.network.cut(node, "state", now + random.nextInt(20_000_000), hold);
+        if (random.nextBoolean()) {
+          world.network.cut("state", node, now + random.nextInt(20_000_000), hold);
+        }
+      }
+      case 5 -> {
+        for (SimWorker each : workers) {
+          world.network.cut(each.name, node, now + 10 * S, hold);
+          world.network.cut(node, each.name, now + 10 * S, hold);
+        }
+      }
+      case 6 -> World.NODES.forEach(n -> world.network.cut(node, n, now + 12 * S, hold));
+      case 7 -> {
+        if (worker != null) {
+          worker.hang(random.nextInt(25_000_000));
+        }
+      }
+      case 8 -> {
+        if (worker != null) {
+          world.cloud.take(worker.name);
+        }
+      }
+      case 9 -> {
+        if (worker != null) {
+          worker.recall(8 * S);
+          world.clock.in(8 * S, () -> world.cloud.take(worker.name));
+        }
+      }
+      case 10 -> {
+        if (worker != null) {
+          worker.sick = true;
+        }
+      }
+      default -> world.cloud.outage(random.nextInt(15_000_000));
+    }
+  }
+
+  @ParameterizedTest(name = "seed {0}")
+  @ValueSource(longs = {1, 2, 3})
+  @DisplayName("On a quiet day everything accepted ends as it should")
+  void quietDay(long seed) {
+    World world = day(seed, false);
+    assertEquals(List.of(), world.checker.broken);
+    assertTrue(world.checker.started > 50, "few tasks started: " + world.checker.started);
+    for (String id : world.users.ids()) {
+      assertTrue(world.checker.accepted(id), id + " was never accepted");
+      assertTrue(world.checker.finalTold(id) != null, id + " never ended");
+    }
+  }
+
+  @ParameterizedTest(name = "seed {0}")
+  @ValueSource(
+      longs = {
+        11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28, 29, 30, 31, 32, 33,
+        34, 35, 36, 37, 38, 39, 40, 41, 42
+      })
+  @DisplayName("The rules hold through drawn troubles, and the service recovers from them")
+  void roughDay(long seed) {
+    World world = day(seed, true);
+    assertEquals(List.of(), world.checker.broken);
+    assertTrue(world.checker.completions > 0, "nothing ran");
+    long open =
+        world.users.ids().stream()
+            .filter(id -> world.checker.accepted(id) && world.checker.finalTold(id) == null)
+            .count();
+    if (System.getProperty("sim.print") != null) {
+      System.out.println(
+          seed + ": " + world.users.ids().size() + " jobs, " + world.checker.started + " starts, "
+              + world.checker.completions + " completions, " + world.checker.toldDone + " done, "
+              + world.checker.toldWithdrawn + " withdrawn, open " + open);
+    }
+    assertTrue(open <= 2, open + " jobs never ended");
+  }
+
+  @Test
+  @DisplayName("The same seed plays the same day")
+  void deterministic() {
+    World one = day(5, true);
+    World two = day(5, true);
+    assertEquals(one.checker.started, two.checker.started);
+    assertEquals(one.checker.completions, two.checker.completions);
+    assertEquals(one.clock.now(), two.clock.now());
+  }
+}
--- /dev/null
+++ b/src/test/java/org/dewreach/sim/SimCloud.java
@@ -0,0 +1,137 @@
+package org.dewreach.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import org.dewreach.wire.Codec;
+import org.dewreach.wire.MachineType;
+
+/** The cloud as its protocol page has it. */
+final class SimCloud {
+  static final List<MachineType> TYPES =
+      List.of(
+          new MachineType("big", 16, 0, 64, 50, 0.5, 1.0, 0.3, 5_000_000, List.of("a", "b")),
+          new MachineType("small", 4, 0, 32, 50, 0.5, 0.3, 0.1, 4_000_000, List.of("a", "b")));
+  private static final int CAPACITY = 4;
+
+  private record Host(String name, MachineType type, String zone, boolean spot, long since) {}
+
+  private final World world;
+  private final Random random;
+  private final Map<String, Host> hosts = new TreeMap<>();
+  final Map<String, SimWorker> workers = new TreeMap<>();
+  private final Map<String, List<String>> rentals = new HashMap<>();
+  private int last;
+  private long outageUntil;
+
+  SimCloud(World world) {
+    this.world = world;
+    this.random = world.random;
+  }
+
+  void outage(long micros) {
+    outageUntil = world.clock.now() + micros;
+  }
+
+  /** A machine taken back, or dying, without the cloud's list telling at once. */
+  void take(String name) {
+    hosts.remove(name);
+    SimWorker worker = workers.remove(name);
+    if (worker != null) {
+      worker.die();
+    }
+  }
+
+  void handle(String path, JsonNode body, SimState.Reply reply) {
+    if (world.clock.now() < outageUntil) {
+      reply.send(503, Codec.map().put("error", "trouble"));
+    } else if (path.equals("/catalog")) {
+      reply.send(200, MachineType.catalogNode(TYPES));
+    } else if (path.equals("/rentals")) {
+      rent(body, reply);
+    } else if (path.equals("/rentals/return")) {
+      body.path("hosts").forEach(host -> take(host.asText()));
+      reply.send(200, Codec.map());
+    } else {
+      list(path, reply);
+    }
+  }
+
+  private void rent(JsonNode body, SimState.Reply reply) {
+    String request = body.path("hire").asText();
+    List<String> names = rentals.get(request);
+    if (names == null) {
+      names = new ArrayList<>();
+      MachineType type =
+          TYPES.stream().filter(t -> t.name().equals(body.path("build").asText())).findAny().orElseThrow();
+      String zone = body.path("site").asText();
+      boolean spot = body.path("loaners").asBoolean();
+      long used =
+          hosts.values().stream()
+              .filter(h -> h.type() == type && h.zone().equals(zone) && h.spot() == spot)
+              .count();
+      for (long i = used; i < CAPACITY && names.size() < body.path("count").asInt(); i++) {
+        Host host = new Host(String.format("vm-%06d", ++last), type, zone, spot, world.clock.now());
+        hosts.put(host.name(), host);
+        names.add(host.name());
+        if (random.nextInt(12) > 0) {
+          world.clock.in(
+              type.bootMicros() * (60 + random.nextInt(90)) / 100, () -> boot(host));
+        }
+      }
+      if (names.isEmpty()) {
+        reply.send(503, Codec.map().put("error", "no capacity"));
+        return;
+      }
+      rentals.put(request, names);
+    }
+    ObjectNode answer = Codec.map();
+    ArrayNode list = answer.putArray("hosts");
+    names.forEach(list::add);
+    reply.send(200, answer);
+  }
+
+  private void boot(Host host) {
+    if (hosts.containsKey(host.name())) {
+      workers.put(
+          host.name(),
+          new SimWorker(
+              world,
+              host.name(),
+              host.type().name(),
+              host.zone(),
+              host.spot(),
+              host.type().cpus(),
+              host.type().memoryGb()));
+    }
+  }
+
+  private void list(String path, SimState.Reply reply) {
+    int at = path.indexOf("after=");
+    String after = at < 0 ? "" : path.substring(at + 6, path.indexOf('&', at));
+    ObjectNode answer = Codec.map();
+    ArrayNode list = answer.putArray("hosts");
+    boolean more = false;
+    for (Host host : hosts.values()) {
+      boolean shown = world.clock.now() - host.since() > 3_000_000 && host.name().compareTo(after) > 0;
+      if (shown && list.size() >= 5) {
+        more = true;
+        break;
+      }
+      if (shown) {
+        ObjectNode item = list.addObject().put("uid", host.name()).put("address", "10.1.0.1:9000");
+        item.put("build", host.type().name()).put("site", host.zone()).put("loaners", host.spot());
+        item.put("standing", workers.containsKey(host.name()) ? "running" : "booting");
+        item.put("age_s", (world.clock.now() - host.since()) / 1e6);
+      }
+    }
+    answer.put("more", more);
+    reply.send(200, answer);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/dewreach/sim/SimState.java
@@ -0,0 +1,254 @@
+package org.dewreach.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.NavigableMap;
+import java.util.Random;
+import java.util.TreeMap;
+import org.dewreach.wire.Codec;
+
+/** The state service as its protocol page has it. */
+final class SimState {
+  /** Where a response goes. */
+  interface Reply {
+    void send(int status, JsonNode body);
+  }
+
+  record Value(JsonNode data, long stamp, long hold) {}
+
+  private record Change(String key, JsonNode data, long stamp) {}
+
+  private record Watch(String prefix, long after, long until, Reply reply) {}
+
+  private static final class Hold {
+    long ttl;
+    long until;
+  }
+
+  private final Clock clock;
+  private final Random random;
+  final NavigableMap<String, Value> keys = new TreeMap<>();
+  private final Map<Long, Hold> holds = new HashMap<>();
+  private final List<Change> log = new ArrayList<>();
+  private List<Watch> watches = new ArrayList<>();
+  private long revision;
+  private long lastHold;
+  private long outageUntil;
+  private final Map<String, Long> refusedUntil = new HashMap<>();
+
+  SimState(Clock clock, Random random) {
+    this.clock = clock;
+    this.random = random;
+    sweep();
+  }
+
+  void outage(long micros) {
+    outageUntil = clock.now() + micros;
+    clock.at(
+        outageUntil,
+        () -> holds.values().forEach(hold -> hold.until = clock.now() + hold.ttl));
+  }
+
+  void refuse(String node, long untilMicros) {
+    refusedUntil.put(node, untilMicros);
+  }
+
+  private boolean out() {
+    return clock.now() < outageUntil;
+  }
+
+  /** Damage that no state service does, for showing that the checker finds what follows. */
+  void damage(String key, JsonNode data) {
+    revision++;
+    if (data == null) {
+      keys.remove(key);
+    } else {
+      keys.put(key, new Value(data, revision, 0));
+    }
+  }
+
+  private void sweep() {
+    if (!out()) {
+      for (Map.Entry<Long, Hold> entry : List.copyOf(holds.entrySet())) {
+        if (entry.getValue().until <= clock.now()) {
+          end(entry.getKey());
+        }
+      }
+      answerWatches();
+    }
+    clock.in(20_000 + random.nextInt(60_000), this::sweep);
+  }
+
+  private void end(long hold) {
+    holds.remove(hold);
+    List<String> attached = new ArrayList<>();
+    keys.forEach(
+        (key, value) -> {
+          if (value.hold() == hold) {
+            attached.add(key);
+          }
+        });
+    if (!attached.isEmpty()) {
+      revision++;
+      for (String key : attached) {
+        keys.remove(key);
+        log.add(new Change(key, null, revision));
+      }
+    }
+  }
+
+  private void answerWatches() {
+    List<Watch> left = new ArrayList<>();
+    for (Watch watch : watches) {
+      boolean changed =
+          log.stream().anyMatch(c -> c.key().startsWith(watch.prefix()) && c.stamp() > watch.after());
+      if (changed || clock.now() >= watch.until()) {
+        answer(watch);
+      } else {
+        left.add(watch);
+      }
+    }
+    watches = left;
+  }
+
+  private void answer(Watch watch) {
+    ObjectNode body = Codec.map().put("ledger_rev", revision);
+    ArrayNode list = body.putArray("log");
+    for (Change change : log) {
+      if (change.key().startsWith(watch.prefix()) && change.stamp() > watch.after()) {
+        ObjectNode item = list.addObject().put(change.data() == null ? "remove" : "put", change.key());
+        item.put("stamp", change.stamp());
+      }
+    }
+    watch.reply().send(200, body);
+  }
+
+  void handle(String node, String method, String path, JsonNode body, Reply reply) {
+    if (path.startsWith("/changes")) {
+      Map<String, String> query = query(path);
+      watches.add(
+          new Watch(
+              query.get("under"),
+              Long.parseLong(query.get("after")),
+              clock.now() + Long.parseLong(query.get("hold_ms")) * 1000,
+              reply));
+      return;
+    }
+    if (out() || clock.now() < refusedUntil.getOrDefault(node, 0L)) {
+      reply.send(503, null);
+      return;
+    }
+    if (path.startsWith("/keys/")) {
+      Value value = keys.get(path.substring("/keys/".length()));
+      if (value == null) {
+        reply.send(404, Codec.map().put("ledger_rev", revision));
+      } else {
+        ObjectNode answer = Codec.map().put("path", path.substring(6)).put("stamp", value.stamp());
+        answer.put("hold", value.hold());
+        answer.set("data", value.data());
+        reply.send(200, answer);
+      }
+    } else if (path.startsWith("/keys?")) {
+      range(query(path), reply);
+    } else if (path.equals("/commit")) {
+      commit(body, reply);
+    } else if (path.equals("/holds")) {
+      Hold hold = new Hold();
+      hold.ttl = body.path("ttl_ms").asLong() * 1000;
+      hold.until = clock.now() + hold.ttl;
+      holds.put(++lastHold, hold);
+      reply.send(200, Codec.map().put("hold", lastHold));
+    } else if (path.endsWith("/extend")) {
+      Hold hold = holds.get(Long.parseLong(path.split("/")[2]));
+      if (hold == null) {
+        reply.send(404, null);
+      } else {
+        hold.until = clock.now() + hold.ttl;
+        reply.send(200, Codec.map());
+      }
+    } else if (method.equals("DELETE")) {
+      long hold = Long.parseLong(path.split("/")[2]);
+      boolean known = holds.containsKey(hold);
+      end(hold);
+      answerWatches();
+      reply.send(known ? 200 : 404, Codec.map());
+    } else {
+      reply.send(400, null);
+    }
+  }
+
+  private static Map<String, String> query(String path) {
+    Map<String, String> query = new HashMap<>();
+    for (String part : path.substring(path.indexOf('?') + 1).split("&")) {
+      query.put(part.substring(0, part.indexOf('=')), part.substring(part.indexOf('=') + 1));
+    }
+    return query;
+  }
+
+  private void range(Map<String, String> query, Reply reply) {
+    ObjectNode answer = Codec.map().put("ledger_rev", revision).put("more", false);
+    ArrayNode entries = answer.putArray("entries");
+    String prefix = query.get("under");
+    String after = query.getOrDefault("after", "");
+    // Smaller pages than were asked for, so that paging is always exercised.
+    int most = Math.min(7, Integer.parseInt(query.get("most")));
+    for (Map.Entry<String, Value> entry : keys.tailMap(prefix, true).entrySet()) {
+      if (!entry.getKey().startsWith(prefix)) {
+        break;
+      }
+      if (entry.getKey().compareTo(after) <= 0) {
+        continue;
+      }
+      if (entries.size() >= most) {
+        answer.put("more", true);
+        break;
+      }
+      ObjectNode item = entries.addObject().put("path", entry.getKey());
+      item.put("stamp", entry.getValue().stamp());
+      item.set("data", entry.getValue().data());
+    }
+    reply.send(200, answer);
+  }
+
+  private void commit(JsonNode body, Reply reply) {
+    ObjectNode failure = Codec.map().put("ledger_rev", revision);
+    ArrayNode failed = failure.putArray("failed");
+    for (JsonNode condition : body.path("when")) {
+      Value value = keys.get(condition.path("path").asText());
+      if ((value == null ? 0 : value.stamp()) != condition.path("stamp").asLong()) {
+        failed.add(condition.path("path").asText());
+      }
+    }
+    for (JsonNode op : body.path("then")) {
+      if (op.path("hold").asLong(0) > 0 && !holds.containsKey(op.path("hold").asLong())) {
+        reply.send(400, Codec.map().put("error", "no such lease"));
+        return;
+      }
+      if (op.has("put") && Codec.write(op.get("data")).length > 8192) {
+        reply.send(400, null);
+        return;
+      }
+    }
+    if (!failed.isEmpty()) {
+      reply.send(409, failure);
+      return;
+    }
+    revision++;
+    for (JsonNode op : body.path("then")) {
+      if (op.has("put")) {
+        String key = op.path("put").asText();
+        keys.put(key, new Value(op.get("data"), revision, op.path("hold").asLong(0)));
+        log.add(new Change(key, op.get("data"), revision));
+      } else if (keys.remove(op.path("remove").asText()) != null) {
+        log.add(new Change(op.path("remove").asText(), null, revision));
+      }
+    }
+    answerWatches();
+    reply.send(200, Codec.map().put("ledger_rev", revision));
+  }
+}
--- /dev/null
+++ b/src/test/java/org/dewreach/sim/SimUsers.java
@@ -0,0 +1,156 @@
+package org.dewreach.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.function.Consumer;
+import org.dewreach.wire.JobRequest;
+import org.dewreach.wire.Shape;
+import org.dewreach.wire.Urgency;
+
+/** Users who submit, poll, repeat themselves and withdraw. */
+final class SimUsers {
+  private final World world;
+  private final Random random;
+  private final Map<String, JobRequest> specs = new HashMap<>();
+  private final List<String> ids = new ArrayList<>();
+
+  /** Changes what the controllers are told of a job; nothing unless a test says so. */
+  Consumer<JsonNode> tamper = body -> {};
+
+  SimUsers(World world) {
+    this.world = world;
+    this.random = world.random;
+  }
+
+  JobRequest spec(String id) {
+    return specs.get(id);
+  }
+
+  List<String> ids() {
+    return ids;
+  }
+
+  void arrive() {
+    JobRequest spec = draw();
+    specs.put(spec.id(), spec);
+    ids.add(spec.id());
+    world.checker.onSubmit(spec);
+    submit(spec, 0);
+    poll(spec.id());
+    if (spec.shape() == Shape.SERVICE || random.nextInt(5) == 0) {
+      world.clock.in(2_000_000 + random.nextInt(60_000_000), () -> abort(spec.id(), 0));
+    }
+    if (random.nextInt(4) == 0) {
+      world.clock.in(random.nextInt(100_000_000), () -> submit(spec, 0));
+    }
+  }
+
+  private JobRequest draw() {
+    String id = String.format("req-%06d", random.nextInt(1_000_000));
+    boolean service = random.nextInt(3) == 0;
+    int tasks = service ? 1 + random.nextInt(2) : 1 + random.nextInt(12);
+    boolean together = random.nextInt(6) == 0;
+    boolean scatter = !together && random.nextInt(6) == 0;
+    return new JobRequest(
+        id,
+        service ? "live" : "sweep",
+        random.nextBoolean() ? "red" : "blue",
+        service ? Shape.SERVICE : Shape.SWEEP,
+        Urgency.values()[random.nextInt(4)],
+        tasks,
+        1 + random.nextInt(3),
+        0,
+        1 + random.nextInt(6),
+        "img",
+        1,
+        random.nextInt(5) == 0 ? List.of("big") : null,
+        random.nextInt(6) == 0 && !scatter ? "a" : null,
+        together,
+        scatter,
+        random.nextBoolean(),
+        service ? 0 : 1_000_000 + random.nextInt(12_000_000),
+        0,
+        0,
+        service ? -1 : 60_000_000);
+  }
+
+  private String anyNode() {
+    return World.NODES.get(random.nextInt(World.NODES.size()));
+  }
+
+  private void submit(JobRequest spec, int tries) {
+    boolean[] answered = {false};
+    JsonNode described = spec.toNode();
+    tamper.accept(described);
+    world.toNode("user", anyNode(), "POST", "/work", described, (status, body) -> {
+      if (answered[0]) {
+        return;
+      }
+      answered[0] = true;
+      world.checker.onSubmitAnswer(spec.id(), status, standing(body));
+      if (status >= 429 && tries < 30) {
+        world.clock.in(1_000_000, () -> submit(spec, tries + 1));
+      }
+    });
+    world.clock.in(5_000_000, () -> {
+      if (!answered[0] && tries < 30) {
+        answered[0] = true;
+        submit(spec, tries + 1);
+      }
+    });
+  }
+
+  private void poll(String id) {
+    world.clock.in(3_000_000 + random.nextInt(4_000_000), () -> {
+      // Somebody's polls may be answered by different nodes in any order, but each user asks one
+      // at a time: an answer counts only if it came before the next question.
+      boolean[] answered = {false};
+      world.toNode("user", anyNode(), "GET", "/work/" + id, null, (status, body) -> {
+        if (!answered[0]) {
+          answered[0] = true;
+          world.checker.onQueryAnswer(id, status, standing(body));
+        }
+      });
+      world.clock.in(2_000_000, () -> {
+        answered[0] = true;
+        poll(id);
+      });
+    });
+  }
+
+  private void abort(String id, int tries) {
+    world.checker.onAbortAsked(id);
+    boolean[] answered = {false};
+    world.toNode("user", anyNode(), "POST", "/work/" + id + "/abort", null, (status, body) -> {
+      if (answered[0]) {
+        return;
+      }
+      answered[0] = true;
+      world.checker.onAbortAnswer(id, status, standing(body));
+      if (status != 200 && tries < 30) {
+        world.clock.in(1_000_000, () -> abort(id, tries + 1));
+      }
+    });
+    world.clock.in(5_000_000, () -> {
+      if (!answered[0] && tries < 30) {
+        answered[0] = true;
+        abort(id, tries + 1);
+      }
+    });
+  }
+
+  /** Asks for a job that nobody submitted. */
+  void askForNothing() {
+    String id = "req-none" + random.nextInt(100);
+    world.toNode("user", anyNode(), "GET", "/work/" + id, null, (status, body) ->
+        world.checker.onQueryAnswer(id, status, standing(body)));
+  }
+
+  private static String standing(JsonNode body) {
+    return body == null ? "" : body.path("standing").asText("");
+  }
+}
--- /dev/null
+++ b/src/test/java/org/dewreach/sim/SimWorker.java
@@ -0,0 +1,320 @@
+package org.dewreach.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.dewreach.wire.Codec;
+
+/** A worker as its protocol page has it. */
+final class SimWorker {
+  private static final class Piece {
+    long attempt;
+    String standing;
+    String cause;
+    boolean onMachine;
+    boolean sick;
+  }
+
+  final String name;
+  final String type;
+  final String zone;
+  final boolean spot;
+  final double cpus;
+  final double memoryGb;
+  private final World world;
+  private final Random random;
+  private final double drift;
+  private final Map<String, Piece> pieces = new LinkedHashMap<>();
+  private long tenure = 1;
+  private long tally;
+  private long token;
+  private long leaseFrom;
+  private long recallAt = -1;
+  private int node;
+  private long reportNumber;
+  private boolean inFlight;
+  private boolean changed;
+  private long lastSent = Long.MIN_VALUE / 2;
+  private long hungUntil;
+  boolean dead;
+  boolean sick;
+
+  /** Faults that no worker has; the checker has to find what follows from them. */
+  static final class Faults {
+    boolean hidesTasks;
+    boolean ignoresHalts;
+    boolean claimsDone;
+  }
+
+  SimWorker(
+      World world, String name, String type, String zone, boolean spot, double cpus, double memoryGb) {
+    this.world = world;
+    this.random = world.random;
+    this.name = name;
+    this.type = type;
+    this.zone = zone;
+    this.spot = spot;
+    this.cpus = cpus;
+    this.memoryGb = memoryGb;
+    this.drift = 1 + (random.nextDouble() - 0.5) * 0.001;
+    this.leaseFrom = world.clock.now();
+    this.node = random.nextInt(3);
+    scheduleReport(1);
+    watchLease();
+  }
+
+  void hang(long micros) {
+    hungUntil = world.clock.now() + micros;
+  }
+
+  void recall(long micros) {
+    recallAt = world.clock.now() + micros;
+    change();
+  }
+
+  /** The machine stops with all that is on it. */
+  void die() {
+    dead = true;
+    for (Map.Entry<String, Piece> entry : pieces.entrySet()) {
+      leave(entry.getKey(), entry.getValue(), false);
+    }
+    pieces.clear();
+  }
+
+  private void leave(String key, Piece piece, boolean completed) {
+    if (piece.onMachine) {
+      piece.onMachine = false;
+      world.checker.onEnd(this, jobOf(key), indexOf(key), completed);
+    }
+  }
+
+  private static String jobOf(String key) {
+    return key.substring(0, key.indexOf('/'));
+  }
+
+  private static int indexOf(String key) {
+    return Integer.parseInt(key.substring(key.indexOf('/') + 1));
+  }
+
+  private boolean hung() {
+    return world.clock.now() < hungUntil;
+  }
+
+  private void watchLease() {
+    if (dead) {
+      return;
+    }
+    long lease = (long) (world.settings.workers().leaseMicros() * drift);
+    if (world.clock.now() - leaseFrom > lease) {
+      pieces.forEach((key, piece) -> leave(key, piece, false));
+      pieces.clear();
+      tenure++;
+      tally = 0;
+      leaseFrom = world.clock.now();
+      reportNumber++;
+      inFlight = false;
+      change();
+    }
+    world.clock.in(50_000, this::watchLease);
+  }
+
+  private void change() {
+    changed = true;
+    scheduleReport(Math.max(1, lastSent + 500_000 - world.clock.now()));
+  }
+
+  private void scheduleReport(long in) {
+    long number = reportNumber;
+    world.clock.in(
+        in,
+        () -> {
+          if (number == reportNumber && !inFlight) {
+            report();
+          }
+        });
+  }
+
+  private ObjectNode body() {
+    ObjectNode body = Codec.map();
+    body.put("host", name).put("address", "10.1.0.1:9000").put("build", type).put("site", zone);
+    body.put("loaners", spot).put("tenure", tenure).put("tally", ++tally).put("warrant", token);
+    if (recallAt >= 0) {
+      body.put("recall_s", Math.max(0, recallAt - world.clock.now()) / 1e6);
+    } else {
+      body.putNull("recall_s");
+    }
+    ArrayNode list = body.putArray("pieces");
+    for (Map.Entry<String, Piece> entry : pieces.entrySet()) {
+      if (world.faults.hidesTasks && entry.getValue().onMachine) {
+        continue;
+      }
+      ObjectNode item = list.addObject().put("piece", entry.getKey());
+      item.put("try", entry.getValue().attempt).put("standing", entry.getValue().standing);
+      if (entry.getValue().cause != null) {
+        item.put("cause", entry.getValue().cause);
+      }
+    }
+    return body;
+  }
+
+  private void report() {
+    if (dead) {
+      return;
+    }
+    if (hung()) {
+      world.clock.at(hungUntil, this::report);
+      return;
+    }
+    if (lastSent + 500_000 > world.clock.now()) {
+      scheduleReport(lastSent + 500_000 - world.clock.now());
+      return;
+    }
+    long number = ++reportNumber;
+    inFlight = true;
+    changed = false;
+    long sentAt = world.clock.now();
+    lastSent = sentAt;
+    long session = tenure;
+    String target = World.NODES.get(node);
+    world.toNode(name, target, "POST", "/hello", body(), (status, answer) -> {
+      if (!dead && number == reportNumber && inFlight && session == tenure) {
+        if (hung()) {
+          // Read once it goes on; by then its time may be up.
+          world.clock.at(hungUntil, () -> {
+            if (!dead && number == reportNumber && inFlight && session == tenure
+                && world.clock.now() - sentAt < 4_000_000) {
+              onAnswer(status, answer, sentAt);
+            }
+          });
+        } else {
+          onAnswer(status, answer, sentAt);
+        }
+      }
+    });
+    world.clock.in(
+        4_000_000,
+        () -> {
+          if (!dead && number == reportNumber && inFlight) {
+            inFlight = false;
+            node = (node + 1) % 3;
+            scheduleReport(1_000_000);
+          }
+        });
+  }
+
+  private void onAnswer(int status, JsonNode answer, long sentAt) {
+    inFlight = false;
+    if (status == 421 && answer != null && World.NODES.contains(answer.path("steward").asText())
+        && World.NODES.indexOf(answer.path("steward").asText()) != node) {
+      node = World.NODES.indexOf(answer.path("steward").asText());
+      scheduleReport(random.nextInt(500_000));
+      return;
+    }
+    if (status != 200) {
+      node = (node + 1) % 3;
+      scheduleReport(1_000_000);
+      return;
+    }
+    long given = answer.path("warrant").asLong(-1);
+    if (given >= token) {
+      if (given > token) {
+        token = given;
+        changed = true;
+      }
+      leaseFrom = sentAt;
+      answer.path("orders").forEach(this::execute);
+    }
+    long next = world.settings.workers().reportMicros() * (75 + random.nextInt(50)) / 100;
+    scheduleReport(changed ? Math.max(1, lastSent + 500_000 - world.clock.now()) : next);
+  }
+
+  private void execute(JsonNode order) {
+    String key = order.path("piece").asText();
+    long attempt = order.path("try").asLong();
+    Piece piece = pieces.get(key);
+    switch (order.path("verb").asText()) {
+      case "start" -> start(key, attempt, piece);
+      case "halt" -> {
+        boolean obeys = !world.faults.ignoresHalts;
+        if (obeys && piece != null && piece.attempt == attempt && !piece.standing.equals("exited")) {
+          exit(key, piece, "stopped");
+        }
+      }
+      case "clear" -> {
+        if (piece != null && piece.attempt == attempt && piece.standing.equals("exited")) {
+          pieces.remove(key);
+          changed = true;
+        }
+      }
+      default -> throw new IllegalArgumentException(order.toString());
+    }
+  }
+
+  private void start(String key, long attempt, Piece present) {
+    if (present != null && (present.attempt == attempt || !present.standing.equals("exited"))) {
+      if (present.attempt != attempt && !world.faults.hidesTasks) {
+        throw new IllegalStateException(key + " started over another attempt on " + name);
+      }
+      return;
+    }
+    Piece piece = new Piece();
+    piece.attempt = attempt;
+    piece.standing = "pulling";
+    pieces.put(key, piece);
+    changed = true;
+    var spec = world.users.spec(jobOf(key));
+    double cpusUsed = 0;
+    double memoryUsed = 0;
+    for (Map.Entry<String, Piece> entry : pieces.entrySet()) {
+      if (!entry.getValue().standing.equals("exited")) {
+        cpusUsed += world.users.spec(jobOf(entry.getKey())).cpus();
+        memoryUsed += world.users.spec(jobOf(entry.getKey())).memoryGb();
+      }
+    }
+    if (spec == null || cpusUsed > cpus + 1e-6 || memoryUsed > memoryGb + 1e-6) {
+      exit(key, piece, spec == null ? "no_such" : "full");
+      return;
+    }
+    world.clock.in(
+        500_000 + random.nextInt(3_000_000),
+        () -> {
+          if (pieces.get(key) == piece && piece.standing.equals("pulling")) {
+            piece.standing = "running";
+            piece.onMachine = true;
+            world.checker.onStart(this, jobOf(key), indexOf(key));
+            change();
+            if (sick) {
+              world.clock.in(200_000, () -> finish(key, piece, "error"));
+            } else if (spec.expectedMicros() > 0) {
+              long run = spec.expectedMicros() * (50 + random.nextInt(100)) / 100;
+              world.clock.in(run, () -> finish(key, piece, "done"));
+            }
+          }
+        });
+  }
+
+  private void finish(String key, Piece piece, String cause) {
+    if (pieces.get(key) == piece && piece.standing.equals("running")) {
+      if (hung()) {
+        world.clock.at(hungUntil, () -> finish(key, piece, cause));
+        return;
+      }
+      exit(key, piece, cause);
+    }
+  }
+
+  private void exit(String key, Piece piece, String cause) {
+    piece.standing = "exited";
+    piece.cause = cause;
+    leave(key, piece, cause.equals("done") && !world.faults.claimsDone);
+    change();
+  }
+
+  List<String> running() {
+    return pieces.entrySet().stream().filter(e -> e.getValue().onMachine).map(Map.Entry::getKey).toList();
+  }
+}
--- /dev/null
+++ b/src/test/java/org/dewreach/sim/World.java
@@ -0,0 +1,296 @@
+package org.dewreach.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.dewreach.config.Settings;
+import org.dewreach.config.SettingsException;
+import org.dewreach.config.SettingsReader;
+import org.dewreach.controller.Core;
+import org.dewreach.port.Effect;
+import org.dewreach.port.Event;
+import org.dewreach.port.Target;
+import org.dewreach.wire.Codec;
+
+/** Three controllers in a simulated world, played from one seed. */
+final class World {
+  static final List<String> NODES = List.of("n0", "n1", "n2");
+
+  private static final class NodeProcess {
+    Core core;
+    long startedAt;
+    double drift;
+    int boots;
+    long lastRequest;
+    final Map<Long, SimState.Reply> requests = new HashMap<>();
+    final Map<Long, Boolean> openCalls = new HashMap<>();
+  }
+
+  final Random random;
+  final Clock clock = new Clock();
+  final Settings settings;
+  final Network network;
+  final Checker checker;
+  final SimState state;
+  final SimCloud cloud;
+  final SimUsers users;
+  final SimWorker.Faults faults = new SimWorker.Faults();
+  private final Map<String, NodeProcess> nodes = new HashMap<>();
+  private final Map<String, Settings> nodeSettings = new HashMap<>();
+
+  World(long seed) {
+    this(seed, 1);
+  }
+
+  /** With a factor other than 1 the controllers are given wrong limits. */
+  World(long seed, double limitFactor) {
+    this.random = new Random(seed);
+    this.settings = settingsOf("n0", 1);
+    this.network = new Network(clock, random);
+    this.checker = new Checker(clock, settings);
+    this.state = new SimState(clock, random);
+    this.cloud = new SimCloud(this);
+    this.users = new SimUsers(this);
+    for (String name : NODES) {
+      nodeSettings.put(name, settingsOf(name, limitFactor));
+      nodes.put(name, new NodeProcess());
+      start(name);
+    }
+  }
+
+  private static Settings settingsOf(String name, double limitFactor) {
+    StringBuilder text = new StringBuilder();
+    text.append("host_name = \"").append(name).append("\"\nlocation = \"a\"\n");
+    text.append("client_listen = \"127.0.0.1:1\"\ninternal_addr = \"127.0.0.1:2\"\n");
+    for (String other : NODES) {
+      if (!other.equals(name)) {
+        text.append("[[members]]\nhost_name = \"").append(other);
+        text.append("\"\nlocation = \"a\"\naddress = \"127.0.0.1:3\"\n");
+      }
+    }
+    text.append(
+        """
+        [external]
+        cloud = "127.0.0.1:4"
+        state = "127.0.0.1:5"
+        [cluster]
+        zones = ["a", "b"]
+        time_bound_ms = 100.0
+        [[cluster.teams]]
+        name = "red"
+        cpus = 12.0
+        cpus_max = 24.0
+        gpus = 0.0
+        gpus_max = 0.0
+        [[cluster.teams]]
+        name = "blue"
+        cpus = 8.0
+        cpus_max = 30.0
+        gpus = 0.0
+        gpus_max = 0.0
+        [cluster.workers]
+        report_s = 1.0
+        lease_s = 10.0
+        cancel_s = 30.0
+        [cluster.state]
+        rps = 250.0
+        write_rps = 60.0
+        value_kb = 8.0
+        txn_ops = 24
+        [cluster.cloud]
+        rps = 4.0
+        list_lag_s = 3.0
+        [cluster.machine_limits]
+        cpu_share = 0.5
+        ram_mb = 200.0
+        max_connections = 500
+        """);
+    try {
+      String limits = text.toString();
+      if (limitFactor != 1) {
+        limits = limits.replace("cpus_max = 24.0", "cpus_max = " + 24 * limitFactor);
+      }
+      return SettingsReader.parse(limits);
+    } catch (SettingsException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  // Controllers
+
+  void start(String name) {
+    NodeProcess node = nodes.get(name);
+    if (node.core != null) {
+      return;
+    }
+    node.startedAt = clock.now();
+    node.drift = 1 + random.nextDouble() * 0.0005;
+    node.boots++;
+    node.core =
+        new Core(
+            nodeSettings.get(name),
+            name + "-" + node.boots,
+            new Random(random.nextLong()),
+            clock.now() + (random.nextInt(200) - 100) * 1000L);
+    tick(name, node.core);
+  }
+
+  void crash(String name, long backAfterMicros) {
+    NodeProcess node = nodes.get(name);
+    node.core = null;
+    node.requests.clear();
+    node.openCalls.clear();
+    clock.in(backAfterMicros, () -> start(name));
+  }
+
+  String leading() {
+    for (String name : NODES) {
+      Core core = nodes.get(name).core;
+      if (core != null && core.leading()) {
+        return name;
+      }
+    }
+    return null;
+  }
+
+  private void tick(String name, Core core) {
+    if (nodes.get(name).core == core) {
+      handle(name, new Event.Tick());
+      clock.in(50_000 + random.nextInt(3_000), () -> tick(name, core));
+    }
+  }
+
+  private void handle(String name, Event event) {
+    NodeProcess node = nodes.get(name);
+    long steady = (long) ((clock.now() - node.startedAt) * node.drift);
+    Core core = node.core;
+    for (Effect effect : core.handle(steady, event)) {
+      carryOut(name, node, core, effect);
+    }
+  }
+
+  private void carryOut(String name, NodeProcess node, Core core, Effect effect) {
+    if (effect instanceof Effect.Respond respond) {
+      SimState.Reply reply = node.requests.remove(respond.requestId());
+      if (reply != null) {
+        reply.send(respond.status(), copy(respond.body()));
+      }
+    } else if (effect instanceof Effect.Call call) {
+      node.openCalls.put(call.callId(), true);
+      JsonNode body = copy(call.body());
+      String to = hostOf(call.target());
+      SimState.Reply back =
+          (status, answer) -> {
+            JsonNode copied = copy(answer);
+            network.send(to, name, () -> end(name, core, call.callId(), status, copied));
+          };
+      network.send(name, to, () -> serve(name, call, body, back));
+      clock.in(call.timeoutMicros(), () -> end(name, core, call.callId(), 0, null));
+    }
+  }
+
+  private static String hostOf(Target target) {
+    if (target instanceof Target.Member member) {
+      return member.name();
+    }
+    return target instanceof Target.Cloud ? "cloud" : "state";
+  }
+
+  private void serve(String name, Effect.Call call, JsonNode body, SimState.Reply back) {
+    if (call.target() instanceof Target.Member member) {
+      request(member.name(), Event.Source.PEER, call.method(), call.path(), body, back);
+    } else if (call.target() instanceof Target.Cloud) {
+      cloud.handle(call.path(), body, back);
+    } else {
+      state.handle(name, call.method(), call.path(), body, back);
+    }
+  }
+
+  private void end(String name, Core core, long callId, int status, JsonNode body) {
+    NodeProcess node = nodes.get(name);
+    if (node.core == core && node.openCalls.remove(callId) != null) {
+      handle(name, new Event.Reply(callId, status, body));
+    }
+  }
+
+  private void request(
+      String name,
+      Event.Source source,
+      String method,
+      String path,
+      JsonNode body,
+      SimState.Reply reply) {
+    NodeProcess node = nodes.get(name);
+    if (node.core == null) {
+      return;
+    }
+    long id = ++node.lastRequest;
+    node.requests.put(id, reply);
+    handle(name, new Event.Request(id, source, method, path, body));
+  }
+
+  /** A worker's or user's request; a crashed node gives no answer. */
+  void toNode(
+      String from, String name, String method, String path, JsonNode body, SimState.Reply reply) {
+    JsonNode sent = copy(body);
+    network.send(from, name, () -> {
+      if (nodes.get(name).core == null) {
+        network.send(name, from, () -> reply.send(503, null));
+        return;
+      }
+      request(name, Event.Source.PUBLIC, method, path, sent, (status, answer) ->
+          network.send(name, from, () -> reply.send(status, answer)));
+    });
+  }
+
+  /** Through the wire format, so that nothing is shared and everything can be written. */
+  static JsonNode copy(JsonNode body) {
+    if (body == null) {
+      return null;
+    }
+    try {
+      return Codec.read(Codec.write(body));
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  List<SimWorker> workers() {
+    return new ArrayList<>(cloud.workers.values());
+  }
+
+  /** Plays on until the time given, checking after each step. */
+  void play(long untilMicros) {
+    while (clock.step(untilMicros)) {
+      if (!checker.broken.isEmpty()) {
+        return;
+      }
+    }
+  }
+
+  /** Jobs arrive, and the checker looks at what must have ended, until the time given. */
+  void live(long untilMicros, long everyMicros) {
+    arrivals(untilMicros, everyMicros);
+    sweeps();
+  }
+
+  private void arrivals(long untilMicros, long everyMicros) {
+    if (clock.now() < untilMicros) {
+      users.arrive();
+      if (random.nextInt(5) == 0) {
+        users.askForNothing();
+      }
+      clock.in(everyMicros / 2 + random.nextLong(everyMicros), () -> arrivals(untilMicros, everyMicros));
+    }
+  }
+
+  private void sweeps() {
+    checker.sweep();
+    clock.in(500_000, this::sweeps);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/dewreach/store/CommitQueueTest.java
@@ -0,0 +1,110 @@
+package org.dewreach.store;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import org.dewreach.port.Calls;
+import org.dewreach.port.Effect;
+import org.dewreach.port.Event;
+import org.dewreach.wire.Codec;
+import org.junit.jupiter.api.Test;
+
+class CommitQueueTest {
+  private final Calls calls = new Calls();
+  private final List<String> outcomes = new ArrayList<>();
+  private boolean lost;
+  private final CommitQueue queue =
+      new CommitQueue(
+          new StateService(calls),
+          new Condition("dw/leader", 9),
+          4,
+          new RateBudget(100, 100),
+          () -> lost = true);
+
+  private void add(String key) {
+    queue.add(
+        0,
+        new Write(
+            List.of(new Condition(key, 0)),
+            List.of(new Change(key, CommitQueue.value())),
+            true,
+            (now, outcome, revision) -> outcomes.add(key + " " + outcome)));
+  }
+
+  private Effect.Call sent() {
+    List<Effect> effects = calls.drain();
+    assertEquals(1, effects.size(), effects.toString());
+    return (Effect.Call) effects.get(0);
+  }
+
+  private void reply(Effect.Call call, int status, JsonNode body) {
+    calls.reply(1_000_000, new Event.Reply(call.callId(), status, body));
+  }
+
+  private static ObjectNode conflict(String key) {
+    ObjectNode body = Codec.map().put("ledger_rev", 20);
+    body.putArray("failed").add(key);
+    return body;
+  }
+
+  @Test
+  void waitingWritesShareOneTransaction() {
+    add("a");
+    Effect.Call first = sent();
+    add("b");
+    add("c");
+    assertTrue(calls.drain().isEmpty(), "one in flight");
+    reply(first, 200, Codec.map().put("ledger_rev", 10));
+    Effect.Call second = sent();
+    assertEquals(2, second.body().path("then").size());
+    assertEquals("dw/leader", second.body().path("when").get(0).path("path").asText());
+    reply(second, 200, Codec.map().put("ledger_rev", 11));
+    assertEquals(List.of("a WRITTEN", "b WRITTEN", "c WRITTEN"), outcomes);
+  }
+
+  @Test
+  void aWriteThatFailsDoesNotTakeTheOthersWithIt() {
+    add("x");
+    reply(sent(), 503, null);
+    add("a");
+    queue.tick(2_000_000);
+    reply(sent(), 200, Codec.map().put("ledger_rev", 10));
+    Effect.Call second = sent();
+    add("b");
+    reply(second, 409, conflict("a"));
+    reply(sent(), 200, Codec.map().put("ledger_rev", 11));
+    assertEquals(List.of("x WRITTEN", "a CONFLICT", "b WRITTEN"), outcomes);
+  }
+
+  /** Guards against telling a user "conflict" for a write that had been applied unanswered. */
+  @Test
+  void anEarlierCopyThatWasAppliedIsRecognised() {
+    add("a");
+    Effect.Call first = sent();
+    String mark = first.body().path("then").get(0).path("data").path("w").asText();
+    reply(first, 0, null);
+    queue.tick(2_000_000);
+    Effect.Call again = sent();
+    assertEquals(first.body(), again.body(), "sent again unchanged");
+    reply(again, 409, conflict("a"));
+    Effect.Call check = sent();
+    assertEquals("/keys/a", check.path());
+    ObjectNode found = Codec.map().put("stamp", 15);
+    found.putObject("data").put("w", mark);
+    reply(check, 200, found);
+    assertEquals(List.of("a WRITTEN"), outcomes);
+  }
+
+  @Test
+  void theLeaderKeyGoneEndsTheTerm() {
+    add("a");
+    reply(sent(), 409, conflict("dw/leader"));
+    assertTrue(lost);
+    queue.close(0);
+    assertEquals(List.of("a UNKNOWN"), outcomes);
+  }
+}
