--- a/src/main/java/org/dewreach/controller/Adopter.java
+++ b/src/main/java/org/dewreach/controller/Adopter.java
@@ -39,6 +39,7 @@
   private long againAt;
   private boolean watching;
   private boolean repeat;
+  private long listedSince;
   private boolean closed;
 
   Adopter(StateService state, Books books, Recorder recorder) {
@@ -72,6 +73,11 @@
       return;
     }
     againAt = nowMicros;
+    if (after == null) {
+      // Guards against a job that is kept under an earlier key than the pages have come to: the
+      // watch begins where the first page did.
+      listedSince = body.path("ledger_rev").asLong();
+    }
     JsonNode entries = body.path("entries");
     for (JsonNode entry : entries) {
       after = entry.path("path").asText();
@@ -86,7 +92,7 @@
       }
       repeat = false;
       if (!watching) {
-        watch(body.path("ledger_rev").asLong());
+        watch(listedSince);
       }
     }
   }
--- a/src/main/java/org/dewreach/controller/Dispatcher.java
+++ b/src/main/java/org/dewreach/controller/Dispatcher.java
@@ -24,6 +24,15 @@
 final class Dispatcher {
   private static final long REFUSAL_PAUSE = 3_000_000;
 
+  /** Tasks of a job that are passed over, each for its earlier direct start, for one that fits. */
+  private static final int MOST_PASSED_OVER = 20;
+
+  /**
+   * A job that has waited for its first task for this long gets that from the room kept for services.
+   * Ours.
+   */
+  private static final long KEPT_FROM = 60_000_000;
+
   /** Bounds the work of one pass; what is left is placed in the next. */
   private static final int MOST_PLACED = 400;
 
@@ -42,6 +51,9 @@
   private double headroom;
   private double ordinaryFree;
 
+  /** True if what was placed last would have found room but for a task's earlier direct start. */
+  private boolean barred;
+
   Dispatcher(
       Books books,
       QueueOrder order,
@@ -102,19 +114,20 @@
         continue;
       }
       int started = 0;
-      if (placed < MOST_PLACED && !full.contains(likeness(job))) {
+      if (placed < MOST_PLACED && !full.contains(likeness(job, nowMicros))) {
         // A gang larger than a pass has to be placed in one all the same.
         boolean gang = job.spec().shape() == Shape.GANG;
         int most = gang ? room : Math.min(room, MOST_PLACED - placed);
-        if (!gang && QueueOrder.toBegin(job, nowMicros + wallOffset)) {
+        // Guards against replicas that need each other's zone and lost it late: never one alone.
+        if (!whole(job) && QueueOrder.toBegin(job, nowMicros + wallOffset)) {
           most = 1;
         }
         started = place(job, most, nowMicros);
         placed += started;
       }
       if (started < room) {
-        if (started == 0) {
-          full.add(likeness(job));
+        if (started == 0 && !barred) {
+          full.add(likeness(job, nowMicros));
         }
         waiting.add(new Waiting(job, room - started));
       }
@@ -127,23 +140,41 @@
   }
 
   /** Jobs with the same likeness fit on the same machines. */
-  private static String likeness(Job job) {
+  private String likeness(Job job, long nowMicros) {
     JobRequest spec = job.spec();
     boolean special = spec.together() || spec.scatter() || spec.shape() == Shape.GANG;
-    if (special || !job.suspects().isEmpty()) {
+    if (special || !job.suspects(nowMicros).isEmpty() || keptFrom(job, nowMicros)) {
       return job.id();
     }
-    return SortFirstFit.likeness(spec);
+    return SortFirstFit.likeness(spec) + yields(spec);
+  }
+
+  /**
+   * Guards against a small job that waits without end beside room kept for services, where the cloud
+   * has no machine for it.
+   */
+  private boolean keptFrom(Job job, long nowMicros) {
+    return yields(job.spec())
+        && job.doneCount() == 0
+        && !job.hasBound()
+        && nowMicros + wallOffset - job.acceptedWallMicros() > KEPT_FROM;
+  }
+
+  /**
+   * True if all of it is placed at once or nothing: stopping short of a whole gang would only make
+   * the others wait; the same holds for a service whose replicas need each other's zone.
+   */
+  private static boolean whole(Job job) {
+    JobRequest spec = job.spec();
+    return spec.shape() == Shape.GANG
+        || spec.together() && spec.shape() == Shape.SERVICE && job.bound().isEmpty();
   }
 
   private int place(Job job, int room, long nowMicros) {
     JobRequest spec = job.spec();
     int wanted = job.pending();
-    // Stopping short of a whole gang would only make the others wait; the same holds for a service
-    // whose replicas need each other's zone.
-    boolean whole =
-        spec.shape() == Shape.GANG
-            || spec.together() && spec.shape() == Shape.SERVICE && job.bound().isEmpty();
+    boolean whole = whole(job);
+    barred = false;
     if (whole && room < wanted || spec.shape() == Shape.GANG && !job.bound().isEmpty()) {
       return 0;
     }
@@ -193,29 +224,43 @@
     // The tasks of a gang find each other by their attempt: it is one for all of them.
     long gangAttempt = spec.shape() == Shape.GANG ? books.nextAttempt() : 0;
     boolean yields = yields(spec);
-    while (placed.size() < count) {
-      int index = job.nextPending();
-      Machine machine = null;
-      if (index >= 0) {
-        TaskName name = new TaskName(job.id(), index);
-        machine =
-            books.list().firstFit(spec, allowed.and(m -> !m.hadDirectStart(name)), within);
-      }
+    boolean keptFrom = keptFrom(job, nowMicros);
+    int passedOver = 0;
+    int index = job.nextPending();
+    while (placed.size() < count && index >= 0) {
+      TaskName name = new TaskName(job.id(), index);
+      boolean[] hadStart = {false};
+      Machine machine =
+          books.list().firstFit(spec, allowed.and(m -> !barred(m, name, hadStart)), within);
       if (machine == null) {
-        break;
+        barred |= hadStart[0];
+        if (!hadStart[0] || ++passedOver > MOST_PASSED_OVER) {
+          break;
+        }
+        // Guards against one task that may not go there again keeping its job, and all like it, away.
+        index = job.pendingAfter(index);
+        continue;
       }
       if (yields && !machine.spot()) {
-        if (ordinaryFree - spec.cpus() < headroom) {
+        boolean allowedIn = keptFrom && (placed.isEmpty() || spec.shape() == Shape.GANG);
+        if (ordinaryFree - spec.cpus() < headroom && !allowedIn) {
           break;
         }
         ordinaryFree -= spec.cpus();
       }
       long attempt = gangAttempt > 0 ? gangAttempt : books.nextAttempt();
       placed.add(books.bind(job, index, attempt, machine, TaskPhase.ASSIGNED, nowMicros));
+      index = job.pendingAfter(index);
     }
     return placed;
   }
 
+  private static boolean barred(Machine machine, TaskName name, boolean[] hadStart) {
+    boolean had = machine.hadDirectStart(name);
+    hadStart[0] |= had;
+    return had;
+  }
+
   /** True for work that leaves room for services to come on ordinary machines. */
   static boolean yields(JobRequest spec) {
     return spec.shape() != Shape.SERVICE && spec.spot();
@@ -226,9 +271,10 @@
   }
 
   private Predicate<Machine> allowed(Job job, long nowMicros) {
+    Set<String> suspects = job.suspects(nowMicros);
     return machine ->
         SortFirstFit.permitted(job.spec(), machine)
             && !refusedLately(machine, nowMicros)
-            && !job.suspects().contains(machine.name());
+            && !suspects.contains(machine.name());
   }
 }
--- a/src/main/java/org/dewreach/controller/FleetDesk.java
+++ b/src/main/java/org/dewreach/controller/FleetDesk.java
@@ -145,8 +145,8 @@
     closed = true;
   }
 
-  /** The books are read; until now reports were answered without being noted. */
-  void loaded(long nowMicros) {
+  /** From now on, and not before, this leader alone answers workers. */
+  void acts(long nowMicros) {
     startedAt = nowMicros;
   }
 
@@ -637,8 +637,9 @@
       horizon = Math.max(spec.expectedMicros(), (dueAt - nowMicros) / 2);
     }
     horizon = Math.max(horizon, 15_000_000);
-    long work = (long) job.pending() * (spec.expectedMicros() + 3_000_000);
-    int slots = (int) Math.min(job.pending(), (work + horizon - 1) / horizon);
+    // In floating point: the owner's estimate may be anything.
+    double work = (double) job.pending() * (spec.expectedMicros() + 3_000_000);
+    int slots = (int) Math.min(job.pending(), Math.ceil(work / horizon));
     return Math.min(item.tasks(), Math.max(0, slots - job.bound().size()));
   }
 
--- a/src/main/java/org/dewreach/controller/LeaderDesk.java
+++ b/src/main/java/org/dewreach/controller/LeaderDesk.java
@@ -149,7 +149,10 @@
     lookUp(
         id,
         found -> {
-          if (found == null) {
+          if (found == null && books.jobs().containsKey(id)) {
+            // Accepted while we looked.
+            answer.later();
+          } else if (found == null) {
             LOG.info("submission of {} answered {}: {}", id, status, why);
             answer.send(status, Codec.map().put("error", why), 0);
           } else {
--- a/src/main/java/org/dewreach/controller/Preemption.java
+++ b/src/main/java/org/dewreach/controller/Preemption.java
@@ -100,7 +100,7 @@
           && SortFirstFit.permitted(spec, machine)
           && (machine.spot() || !spotOnly)
           && !Dispatcher.refusedLately(machine, nowMicros)
-          && !job.suspects().contains(machine.name())
+          && !job.suspects(nowMicros).contains(machine.name())
           && !machine.hadDirectStart(next)) {
         Room room = rooms.computeIfAbsent(machine, Preemption::withFreed);
         if (room.covers(spec)) {
--- a/src/main/java/org/dewreach/controller/Recorder.java
+++ b/src/main/java/org/dewreach/controller/Recorder.java
@@ -195,7 +195,7 @@
                   switch (outcome) {
                     case WRITTEN -> {
                       job.stamp(revision);
-                      job.durable(snapshot);
+                      job.durable(JobRecord.kept(snapshot));
                       if (withdrawn) {
                         job.become(JobPhase.WITHDRAWN);
                         listener.onWithdrawn(job, now);
--- a/src/main/java/org/dewreach/controller/ReportDesk.java
+++ b/src/main/java/org/dewreach/controller/ReportDesk.java
@@ -43,6 +43,9 @@
 
   private static final long GRACE_SLACK = 5_000_000;
 
+  /** The other attempt that a worker tells of is halted with its next reports. Ours. */
+  private static final long IN_USE_PAUSE = 10_000_000;
+
   private final long term;
   private final Books books;
 
@@ -63,7 +66,10 @@
     }
     boolean first = machine.session() < 0;
     long previousAt = machine.lastReport();
-    machine.heard(report.session(), report.sequence(), nowMicros);
+    machine.heard(report.session(), report.sequence());
+    if (answerable) {
+      machine.reported(nowMicros);
+    }
     machine.address(report.address());
     // Commands of earlier terms may still arrive until the worker has seen our token, unless none
     // were ever sent to it. A report with another token may also be a late copy, from seconds to
@@ -95,8 +101,10 @@
     }
     ObjectNode response = Codec.map().put("warrant", term);
     ArrayNode orders = response.putArray("orders");
-    if (sure && answerable && machine.recorded()) {
-      for (List<Order> group : List.of(halts, clears, starts)) {
+    // Without a report that is sure there are only halts of what is withdrawn. Guards against leases
+    // renewed by one new leader after the other, of which each waits for a report with its token.
+    if (answerable && machine.recorded()) {
+      for (List<Order> group : sure ? List.of(halts, clears, starts) : List.of(halts)) {
         for (Order order : group) {
           if (orders.size() < MOST_ORDERS) {
             LOG.debug("order to {}: {}", machine.name(), order);
@@ -194,7 +202,7 @@
           machine.wasStartedDirectly(reported.attempt())
               || reported.cause() == Cause.DONE
               && job != null
-              && job.isOpen()
+              && (job.isOpen() || job.phase() == JobPhase.FINISHING)
               && !job.durable().get(name.index());
       if (!keep) {
         clears.add(new Order.Clear(name, reported.attempt()));
@@ -202,7 +210,11 @@
       return;
     }
     if (!sure) {
-      // It may be a late copy: a task bound by it would be stopped where it really runs.
+      // It may be a late copy: a task bound by it would be stopped where it really runs. But an
+      // attempt of a withdrawn job is not wanted, however old the report is.
+      if (job != null && job.phase() == JobPhase.WITHDRAWN) {
+        halts.add(new Order.Halt(name, reported.attempt(), 0));
+      }
       return;
     }
     if (job != null && !job.bound().containsKey(name.index()) && job.phase() != JobPhase.OVER) {
@@ -252,7 +264,7 @@
         job.failedOn(machine.name(), nowMicros);
         LOG.info("task {} failed on {}", task.name(), machine.name());
         // A job that fails wherever it goes says nothing about the machine.
-        if (job.suspects().size() <= 2) {
+        if (job.suspects(nowMicros).size() <= 2) {
           machine.erredJobs().add(job.id());
         }
         machine.erred();
@@ -266,7 +278,7 @@
         }
       }
       case FULL -> machine.refusedAt(nowMicros);
-      case IN_USE -> job.avoid(machine.name());
+      case IN_USE -> job.avoid(machine.name(), nowMicros + IN_USE_PAUSE);
       case NO_SUCH -> job.rest(nowMicros + 2_000_000);
       case STOPPED, NONE -> {
         // it goes back to the queue
--- a/src/main/java/org/dewreach/controller/Term.java
+++ b/src/main/java/org/dewreach/controller/Term.java
@@ -84,6 +84,7 @@
   private final DirectOrders direct;
   private final Preemption preemption;
   private Phase phase = Phase.LOADING;
+  private boolean acted;
   private long lastPass;
   private long nextProgress;
   private long nextSummary;
@@ -189,7 +190,6 @@
       become(Phase.RECOVERING);
       LOG.info(
           "term {}: {} jobs, {} machines", number, books.jobs().size(), books.machines().size());
-      fleet.loaded(nowMicros);
       unaccounted.addAll(books.machines().values());
       account(nowMicros);
     }
@@ -197,6 +197,12 @@
       return;
     }
     lending.acts(nowMicros);
+    if (!acted) {
+      acted = true;
+      // Guards against leases counted from before an earlier leader's last answer: under promises it
+      // goes on until this one may act.
+      fleet.acts(nowMicros);
+    }
     if (phase == Phase.RECOVERING) {
       account(nowMicros);
     }
@@ -475,6 +481,11 @@
         && machine.phase() != MachinePhase.GONE
         && (machine.phase() != MachinePhase.LOST || report.session() > machine.session())
         && machine.isNewer(report.session(), report.sequence())) {
+      if (report.session() > machine.session()) {
+        // Guards against taking the lease of this session for over with that of the one before: it
+        // began without any answer of ours, at the latest now.
+        machine.answered(nowMicros);
+      }
       reports.take(machine, report, false, nowMicros);
       pumpExited(report, nowMicros);
     }
--- a/src/main/java/org/dewreach/job/Job.java
+++ b/src/main/java/org/dewreach/job/Job.java
@@ -5,7 +5,8 @@
 import it.unimi.dsi.fastutil.ints.Int2ObjectMaps;
 import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
 import java.util.BitSet;
-import java.util.LinkedHashSet;
+import java.util.LinkedHashMap;
+import java.util.Map;
 import java.util.Set;
 import org.dewreach.task.Task;
 import org.dewreach.wire.JobRequest;
@@ -16,12 +17,15 @@
 public final class Job {
   private static final int MOST_SUSPECTS = 8;
 
+  /** A machine on which a task of the job failed is avoided by it for this long. Ours. */
+  private static final long SUSPECTED_FOR = 60_000_000;
+
   private final JobRequest spec;
   private final long acceptedWallMicros;
   private final boolean ofThisTerm;
   private final BitSet done = new BitSet();
   private final Int2ObjectMap<Task> bound = new Int2ObjectLinkedOpenHashMap<>();
-  private final Set<String> suspects = new LinkedHashSet<>();
+  private final Map<String, Long> suspects = new LinkedHashMap<>();
   private JobPhase phase;
   private Standing finalStanding;
   private long stamp;
@@ -248,6 +252,16 @@
     return -1;
   }
 
+  /** The lowest task above the given one that is neither done nor bound, or -1. */
+  public int pendingAfter(int index) {
+    for (int i = index + 1; i < spec.tasks(); i++) {
+      if (!done.get(i) && !bound.containsKey(i)) {
+        return i;
+      }
+    }
+    return -1;
+  }
+
   /** True while its tasks may be started. */
   public boolean startable() {
     return phase == JobPhase.LIVE;
@@ -257,14 +271,19 @@
     return notBefore;
   }
 
-  /** Machines on which its tasks failed lately. */
-  public Set<String> suspects() {
-    return suspects;
+  /**
+   * Machines on which its tasks failed lately.
+   *
+   * <p>Not for ever: guards against a job that waits beside the only machine with room.
+   */
+  public Set<String> suspects(long nowMicros) {
+    suspects.values().removeIf(until -> until <= nowMicros);
+    return suspects.keySet();
   }
 
   /** A task failed: the job rests longer each time, and avoids the machine. */
   public void failedOn(String machine, long nowMicros) {
-    avoid(machine);
+    avoid(machine, nowMicros + SUSPECTED_FOR);
     errors++;
     if (suspects.size() > 1) {
       long pause = Math.min(60_000_000L, 500_000L << Math.min(errors, 8));
@@ -272,11 +291,12 @@
     }
   }
 
-  /** Its tasks are not placed on the machine, until others were avoided since. */
-  public void avoid(String machine) {
-    suspects.add(machine);
+  /** Its tasks are not placed on the machine until then, or until many others were avoided since. */
+  public void avoid(String machine, long untilMicros) {
+    suspects.remove(machine);
+    suspects.put(machine, untilMicros);
     if (suspects.size() > MOST_SUSPECTS) {
-      suspects.remove(suspects.iterator().next());
+      suspects.remove(suspects.keySet().iterator().next());
     }
   }
 
--- a/src/main/java/org/dewreach/job/JobRecord.java
+++ b/src/main/java/org/dewreach/job/JobRecord.java
@@ -31,7 +31,7 @@
     if (low > 0) {
       node.put("low", low);
     }
-    int high = Math.min(done.length(), low + MOST_BITS);
+    int high = Math.min(done.length(), end(low));
     if (high > low) {
       StringBuilder hex = new StringBuilder((high - low) / 4 + 1);
       for (int i = low; i < high; i += 4) {
@@ -48,6 +48,19 @@
     return node;
   }
 
+  private static int end(int low) {
+    return low + MOST_BITS;
+  }
+
+  /**
+   * What of the tasks done a record of the job keeps.
+   *
+   * <p>Guards against results that are cleared from their workers as if they were durable.
+   */
+  public static BitSet kept(BitSet done) {
+    return done.get(0, Math.min(done.length(), end(done.nextClearBit(0))));
+  }
+
   public static JobRecord decode(JsonNode node) throws MalformedException {
     JobRequest spec = JobRequest.parse(node.path("job"));
     BitSet done = new BitSet();
--- a/src/main/java/org/dewreach/leadership/Election.java
+++ b/src/main/java/org/dewreach/leadership/Election.java
@@ -266,7 +266,8 @@
    * more and hears of a later term is over.
    */
   public void hint(String name, long itsTerm, long nowMicros) {
-    if (name == null || name.equals(self)) {
+    if (name == null || name.equals(self) || itsTerm < leaderStamp) {
+      // Not of an earlier term: it would lead requests back to a leader that is over.
       return;
     }
     if (phase == State.LEADING && itsTerm > term && !hasAuthority(nowMicros)) {
--- a/src/main/java/org/dewreach/machine/Machine.java
+++ b/src/main/java/org/dewreach/machine/Machine.java
@@ -191,13 +191,23 @@
     return reportSession > session || reportSession == session && reportSequence > sequence;
   }
 
-  public void heard(long reportSession, long reportSequence, long nowMicros) {
+  /** What it has told, in a report or in the answer to a direct command. */
+  public void heard(long reportSession, long reportSequence) {
     if (reportSession != session) {
       directAttempts.clear();
       directTasks.clear();
     }
     session = reportSession;
     sequence = reportSequence;
+  }
+
+  /**
+   * It reported by itself.
+   *
+   * <p>Answers to direct commands do not count. Guards against a machine that reaches no controller
+   * while commands reach it: it would be given tasks again and again that end with each lease.
+   */
+  public void reported(long nowMicros) {
     lastReport = nowMicros;
     unreached = false;
   }
--- a/src/main/java/org/dewreach/wire/WorkerReport.java
+++ b/src/main/java/org/dewreach/wire/WorkerReport.java
@@ -66,10 +66,16 @@
         Fields.count(map, "tenure", 0, Long.MAX_VALUE),
         Fields.count(map, "tally", 0, Long.MAX_VALUE),
         Fields.count(map, "warrant", 0, Long.MAX_VALUE),
-        Fields.microsOrNone(map, "recall_s"),
+        recall(map),
         tasks);
   }
 
+  /** A time that has passed already is none left, not a report to be turned away. */
+  private static long recall(ObjectNode map) throws MalformedException {
+    boolean passed = map.path("recall_s").isNumber() && map.path("recall_s").doubleValue() < 0;
+    return passed ? 0 : Fields.microsOrNone(map, "recall_s");
+  }
+
   private static ReportedTask task(ObjectNode map) throws MalformedException {
     TaskState state =
         switch (Fields.text(map, "standing")) {
--- a/src/test/java/org/dewreach/controller/ReportDeskTest.java
+++ b/src/test/java/org/dewreach/controller/ReportDeskTest.java
@@ -177,4 +177,49 @@
     }
     return shown;
   }
+
+  /** Guards against leases renewed by a new leader while what was cancelled runs on. */
+  @Test
+  void whatIsWithdrawnIsHaltedFromTheFirstReportOn() {
+    Machine machine = machine("m1", MachinePhase.UNHEARD);
+    job.become(JobPhase.HALTING);
+    job.become(JobPhase.WITHDRAWING);
+    job.become(JobPhase.WITHDRAWN);
+    ObjectNode answer =
+        desk.take(machine, report(machine, 1, 5, 60, shown(0, TaskState.RUNNING, Cause.NONE)), true, S);
+    assertEquals(1, answer.path("orders").size());
+    assertEquals("halt", answer.path("orders").path(0).path("verb").asText());
+    assertEquals(0, job.bound().size(), "the report may be old: it binds nothing");
+  }
+
+  /** Guards against a result that is lost with the leader while the end of its job is written. */
+  @Test
+  void aResultIsKeptUntilItIsDurable() {
+    Machine machine = machine("m1", MachinePhase.BOOTING);
+    desk.take(machine, report(machine, 1, 1, 0), true, S);
+    for (int i = 0; i < 4; i++) {
+      books.markDone(job, i);
+    }
+    job.become(JobPhase.FINISHING);
+    ReportedTask done = shown(3, TaskState.EXITED, Cause.DONE);
+    ObjectNode answer = desk.take(machine, report(machine, 1, 2, TERM, done), true, 2 * S);
+    assertEquals(0, answer.path("orders").size(), "not cleared yet");
+    books.jobs().remove(job.id());
+    answer = desk.take(machine, report(machine, 1, 3, TERM, done), true, 3 * S);
+    assertEquals("clear", answer.path("orders").path(0).path("verb").asText());
+  }
+
+  /** Guards against a machine that is kept by answers to commands while it reaches nobody. */
+  @Test
+  void anAnswerToADirectCommandIsNoReport() {
+    Machine machine = machine("m1", MachinePhase.BOOTING);
+    desk.take(machine, report(machine, 1, 1, 0), true, S);
+    desk.take(machine, report(machine, 1, 2, TERM), true, 2 * S);
+    machine.notReached();
+    desk.take(machine, report(machine, 1, 3, TERM), false, 9 * S);
+    assertEquals(2 * S, machine.lastReport());
+    assertFalse(machine.usable());
+    desk.take(machine, report(machine, 1, 4, TERM), true, 10 * S);
+    assertTrue(machine.usable());
+  }
 }
--- a/src/test/java/org/dewreach/job/JobRecordTest.java
+++ b/src/test/java/org/dewreach/job/JobRecordTest.java
@@ -55,4 +55,17 @@
       assertTrue(wrong.isEmpty(), "nothing is taken for done that is not");
     }
   }
+
+  /** Guards against results that their workers are told to forget though no record has them. */
+  @Test
+  void onlyWhatARecordHoldsCountsAsKept() throws Exception {
+    BitSet done = new BitSet();
+    done.set(0, 40);
+    done.set(50, 60_000, true);
+    BitSet read = JobRecord.decode(JobRecord.encode(largest(), 0, false, done)).done();
+    BitSet kept = JobRecord.kept(done);
+    kept.andNot(read);
+    assertTrue(kept.isEmpty(), "taken for kept, and not in the record: " + kept);
+    assertTrue(JobRecord.kept(done).cardinality() > 10_000);
+  }
 }
--- /dev/null
+++ b/src/test/java/org/dewreach/leadership/ElectionTest.java
@@ -0,0 +1,48 @@
+package org.dewreach.leadership;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import java.util.Random;
+import org.dewreach.port.Calls;
+import org.dewreach.port.Effect;
+import org.dewreach.port.Event;
+import org.dewreach.store.StateService;
+import org.dewreach.wire.Codec;
+import org.junit.jupiter.api.Test;
+
+class ElectionTest {
+  private static final long S = 1_000_000;
+
+  private final Calls calls = new Calls();
+  private final Election election =
+      new Election(
+          new StateService(calls),
+          calls,
+          List.of("n1", "n2"),
+          "n0",
+          "boot",
+          new Random(1),
+          new Election.Listener() {
+            @Override
+            public void onElected(long nowMicros, long term) {}
+
+            @Override
+            public void onDeposed(long nowMicros, long term) {}
+          });
+
+  /** Guards against requests that go back to a leader that is over, on another node's old word. */
+  @Test
+  void hearsayOfAnEarlierTermIsNotTaken() {
+    election.tick(S);
+    Effect.Call read = (Effect.Call) calls.drain().get(0);
+    var key = Codec.map().put("stamp", 40).put("hold", 3);
+    key.putObject("data").put("name", "n1").put("boot", "other");
+    calls.reply(2 * S, new Event.Reply(read.callId(), 200, key));
+    assertEquals("n1", election.leader());
+    election.hint("n2", 39, 3 * S);
+    assertEquals("n1", election.leader());
+    election.hint("n2", 41, 4 * S);
+    assertEquals("n2", election.leader());
+  }
+}
--- /dev/null
+++ b/src/test/java/org/dewreach/wire/CodecTest.java
@@ -0,0 +1,45 @@
+package org.dewreach.wire;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.dataformat.cbor.CBORFactory;
+import java.io.IOException;
+import java.math.BigDecimal;
+import java.math.BigInteger;
+import java.util.HexFormat;
+import org.dewreach.peer.PeerCodec;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** What is read can be passed on to another controller and written to the state service. */
+class CodecTest {
+  private static final ObjectMapper CBOR = new ObjectMapper(new CBORFactory());
+
+  /** Guards against a body that ends each node it reaches: it decodes, and cannot be encoded. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        // {"x": -2^64}, {"x": 2^72}, {"x": [1e100000000]}, {"x": unpaired surrogate}, such a name
+        "a161783bffffffffffffffff", "a16178c249010000000000000000", "a1617881c4821a05f5e10001",
+        "a1617863eda080", "a163eda08001"
+      })
+  void whatCannotBePassedOnIsMalformed(String hex) {
+    assertThrows(IOException.class, () -> Codec.read(HexFormat.of().parseHex(hex)));
+  }
+
+  @Test
+  void whatIsReadCanBePassedOn() throws Exception {
+    var body = Codec.map().put("big", BigInteger.ONE.shiftLeft(64).subtract(BigInteger.ONE));
+    body.put("least", Long.MIN_VALUE).put("amount", new BigDecimal("4.25")).put("text", "\ud83d\ude00");
+    body.put("nan", Double.NaN).putArray("list").add(new BigDecimal("1e-300")).addNull();
+    JsonNode read = Codec.read(CBOR.writeValueAsBytes(body));
+    assertEquals(4.25, read.path("amount").doubleValue());
+    assertEquals(body.path("big"), read.path("big"));
+    assertEquals("\ud83d\ude00", PeerCodec.read(PeerCodec.write(read)).path("text").textValue());
+    assertEquals(read, Codec.read(Codec.write(read)));
+  }
+}
