--- a/src/test/java/org/dewreach/sim/CheckerTest.java
+++ b/src/test/java/org/dewreach/sim/CheckerTest.java
@@ -46,6 +46,59 @@
     assertFinds("ran_cancelled", world);
   }
 
+  /** A start alone, before the job's tasks have to be gone. */
+  @Test
+  void startedAfterItWasCancelled() {
+    World world = busy(1);
+    world.play(60 * S);
+    world.faults.startsHalted = true;
+    for (int i = 0; i < 6; i++) {
+      world.users.arriveLong(2, 100 * S);
+    }
+    world.play(60 * S + 700_000);
+    List.copyOf(world.users.ids()).stream()
+        .filter(id -> id.startsWith("req-long"))
+        .forEach(id -> world.users.abort(id, 0));
+    world.play(70 * S);
+    assertFinds("ran_cancelled", world);
+  }
+
+  /** Controllers that take a team's limit for a tenth of what it is. */
+  @Test
+  void leftWaiting() {
+    World world = busy(0.1);
+    world.checker.quietSince = 20 * S;
+    world.play(40 * S);
+    // No machine is returned for being idle.
+    world.cloud.outage(260 * S);
+    world.play(300 * S);
+    assertFinds("left_waiting", world);
+  }
+
+  /** What must be turned away reaches the controllers as something that need not. */
+  @Test
+  void acceptedWrong() {
+    World world = busy(1);
+    world.play(30 * S);
+    ObjectNode good = world.users.spec(world.users.ids().get(0)).toNode();
+    good.remove("uid");
+    world.users.tamper = body -> ((ObjectNode) body).setAll(good);
+    world.users.oddRequests(100 * S);
+    world.play(100 * S);
+    assertFinds("accepted_wrong", world);
+  }
+
+  /** What is wrong in one way reaches the controllers as wrong in another. */
+  @Test
+  void answeredWrong() {
+    World world = busy(1);
+    world.play(30 * S);
+    world.users.tamper = body -> ((ObjectNode) body).remove("lane");
+    world.users.oddRequests(100 * S);
+    world.play(100 * S);
+    assertFinds("answered_wrong", world);
+  }
+
   @Test
   void notDone() {
     World world = busy(1);
--- a/src/test/java/org/dewreach/sim/SimState.java
+++ b/src/test/java/org/dewreach/sim/SimState.java
@@ -44,6 +44,9 @@
   private final Map<String, Long> refusedUntil = new HashMap<>();
   private int lateShare;
   private long lateUntil;
+  private long slowUntil;
+
+  int leaderKeys;
 
   /** Told the name of each new holder of the leader key, at the moment of the writing. */
   Consumer<String> onLeaderKey = name -> {};
@@ -86,6 +89,11 @@
     lateUntil = untilMicros;
   }
 
+  /** Answers take from 0.1 to 1.5 s for a while. */
+  void slow(long untilMicros) {
+    slowUntil = untilMicros;
+  }
+
   private boolean out() {
     return clock.now() < outageUntil;
   }
@@ -187,7 +195,12 @@
     return counts.merge(second, more, Integer::sum) <= 2 * perSecond;
   }
 
-  void handle(String node, String method, String path, JsonNode body, Reply reply) {
+  void handle(String node, String method, String path, JsonNode body, Reply answer) {
+    Reply reply = answer;
+    if (clock.now() < slowUntil) {
+      long delay = 100_000 + random.nextInt(1_400_000);
+      reply = (status, found) -> clock.in(delay, () -> answer.send(status, found));
+    }
     boolean served = within(requests, 1, size.stateRps());
     served &= within(changes, body == null ? 0 : body.path("then").size(), size.writeRps());
     if (!served) {
@@ -215,10 +228,10 @@
       if (value == null) {
         reply.send(404, Codec.map().put("ledger_rev", revision));
       } else {
-        ObjectNode answer = Codec.map().put("path", path.substring(6)).put("stamp", value.stamp());
-        answer.put("hold", value.hold());
-        answer.set("data", value.data());
-        reply.send(200, answer);
+        ObjectNode found = Codec.map().put("path", path.substring(6)).put("stamp", value.stamp());
+        found.put("hold", value.hold());
+        found.set("data", value.data());
+        reply.send(200, found);
       }
     } else if (path.startsWith("/keys?")) {
       range(query(path), reply);
@@ -317,6 +330,7 @@
         keys.put(key, new Value(op.get("data"), revision, op.path("hold").asLong(0)));
         log.add(new Change(key, op.get("data"), revision));
         if (key.equals(Keys.LEADER)) {
+          leaderKeys++;
           onLeaderKey.accept(op.path("data").path("name").asText());
         }
       } else if (keys.remove(op.path("remove").asText()) != null) {
--- a/src/test/java/org/dewreach/sim/SimUsers.java
+++ b/src/test/java/org/dewreach/sim/SimUsers.java
@@ -126,17 +126,17 @@
         service ? -1 : 60_000_000);
   }
 
-  /** An array or service with tasks that run for minutes, so that it can be cancelled in them. */
-  void arriveLong() {
+  /** An array or service whose tasks run for long, so that it can be cancelled meanwhile. */
+  void arriveLong(int tasks, long runsMicros) {
     boolean service = random.nextInt(3) == 0;
     arrive(
         new JobRequest(
             String.format("req-long%d", ids.size()), service ? "live" : "sweep",
             random.nextBoolean() ? "red" : "blue", service ? Shape.SERVICE : Shape.SWEEP,
-            Urgency.values()[random.nextInt(4)], 1 + random.nextInt(3), 1, 0,
-            1 + random.nextInt(6), "img", 1, null,
+            Urgency.values()[random.nextInt(4)], tasks, 1, 0, 1 + random.nextInt(6),
+            "img", 1, null,
             random.nextInt(3) > 0 ? null : random.nextBoolean() ? "a" : "b", false, false,
-            random.nextBoolean(), service ? 0 : 100_000_000, 0, 0, -1));
+            random.nextBoolean(), service ? 0 : runsMicros, 0, 0, -1));
   }
 
   /** Jobs that run, nobody has called off, and that have long to go. */
--- a/src/test/java/org/dewreach/sim/SimWorker.java
+++ b/src/test/java/org/dewreach/sim/SimWorker.java
@@ -52,6 +52,7 @@
     boolean hidesTasks;
     boolean ignoresHalts;
     boolean claimsDone;
+    boolean startsHalted;
   }
 
   SimWorker(
@@ -362,6 +363,9 @@
   }
 
   private void exit(String key, Piece piece, String cause) {
+    if (world.faults.startsHalted && piece.standing.equals("pulling")) {
+      world.clock.in(3_000_000, () -> world.checker.onStart(this, jobOf(key), indexOf(key)));
+    }
     piece.standing = "exited";
     piece.cause = cause;
     leave(key, piece, cause.equals("done") && !world.faults.claimsDone);
