--- a/src/test/java/org/dewreach/sim/MeetingsTest.java
+++ b/src/test/java/org/dewreach/sim/MeetingsTest.java
@@ -621,7 +621,7 @@
     World world = day.world;
     world.checker.quietSince = day.quietFrom;
     world.play(day.quietFrom + 100 * S);
-    assertEquals(List.of(), world.checker.broken);
+    assertEquals(List.of(), world.checker.broken, meeting + ", seed " + seed);
     assertTrue(
         meeting.tookPlace(day),
         "it did not take place: " + day.leaders() + " leaders, " + day.withdrawn() + " withdrawn");
