--- a/src/test/java/org/dewreach/sim/CancellationTest.java
+++ b/src/test/java/org/dewreach/sim/CancellationTest.java
@@ -124,7 +124,7 @@
         .forEach(
             id -> {
               told.add(id);
-              world.users.withdrawUntilTold(id);
+              world.users.abort(id, 0);
             });
   }
 }
--- a/src/test/java/org/dewreach/sim/SimState.java
+++ b/src/test/java/org/dewreach/sim/SimState.java
@@ -10,6 +10,8 @@
 import java.util.NavigableMap;
 import java.util.Random;
 import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.dewreach.store.Keys;
 import org.dewreach.wire.Codec;
 
 /** The state service as its protocol page has it. */
@@ -23,7 +25,7 @@
 
   private record Change(String key, JsonNode data, long stamp) {}
 
-  private record Watch(String prefix, long after, long until, Reply reply) {}
+  private record Watch(String node, String prefix, long after, long until, Reply reply) {}
 
   private static final class Hold {
     long ttl;
@@ -40,6 +42,14 @@
   private long lastHold;
   private long outageUntil;
   private final Map<String, Long> refusedUntil = new HashMap<>();
+  private int lateShare;
+  private long lateUntil;
+  private long slowUntil;
+
+  int leaderKeys;
+
+  /** Told the name of each new holder of the leader key, at the moment of the writing. */
+  Consumer<String> onLeaderKey = name -> {};
 
   private final World.Size size;
 
@@ -68,10 +78,39 @@
     refusedUntil.put(node, untilMicros);
   }
 
+  /**
+   * For a while some transactions get no answer and are carried out 2 to 12 s later, after newer
+   * ones of the same node.
+   *
+   * @param share of the transactions, in thousandths
+   */
+  void lateWrites(int share, long untilMicros) {
+    lateShare = share;
+    lateUntil = untilMicros;
+  }
+
+  /** Answers take from 0.1 to 1.5 s for a while. */
+  void slow(long untilMicros) {
+    slowUntil = untilMicros;
+  }
+
   private boolean out() {
     return clock.now() < outageUntil;
   }
 
+  private boolean served(String node) {
+    return !out() && clock.now() >= refusedUntil.getOrDefault(node, 0L);
+  }
+
+  /** A transaction that was taken long ago; it gets no answer, and waits for an outage's end. */
+  private void commitLate(JsonNode body) {
+    if (out()) {
+      clock.at(outageUntil, () -> commitLate(body));
+    } else {
+      commit(body, (status, answer) -> {});
+    }
+  }
+
   /** Damage that no state service does, for showing that the checker finds what follows. */
   void damage(String key, JsonNode data) {
     revision++;
@@ -115,8 +154,9 @@
   private void answerWatches() {
     List<Watch> left = new ArrayList<>();
     for (Watch watch : watches) {
-      boolean changed = !since(watch).isEmpty();
-      if (changed || clock.now() >= watch.until()) {
+      // Those of a node that is refused wait as in an outage.
+      boolean changed = served(watch.node()) && !since(watch).isEmpty();
+      if (changed || served(watch.node()) && clock.now() >= watch.until()) {
         answer(watch);
       } else {
         left.add(watch);
@@ -155,7 +195,12 @@
     return counts.merge(second, more, Integer::sum) <= 2 * perSecond;
   }
 
-  void handle(String node, String method, String path, JsonNode body, Reply reply) {
+  void handle(String node, String method, String path, JsonNode body, Reply answer) {
+    Reply reply = answer;
+    if (clock.now() < slowUntil) {
+      long delay = 100_000 + random.nextInt(1_400_000);
+      reply = (status, found) -> clock.in(delay, () -> answer.send(status, found));
+    }
     boolean served = within(requests, 1, size.stateRps());
     served &= within(changes, body == null ? 0 : body.path("then").size(), size.writeRps());
     if (!served) {
@@ -163,34 +208,39 @@
       reply.send(429, null);
       return;
     }
+    if (!served(node)) {
+      reply.send(503, null);
+      return;
+    }
     if (path.startsWith("/changes")) {
       Map<String, String> query = query(path);
       watches.add(
           new Watch(
+              node,
               query.get("under"),
               Long.parseLong(query.get("after")),
               clock.now() + Long.parseLong(query.get("hold_ms")) * 1000,
               reply));
       return;
     }
-    if (out() || clock.now() < refusedUntil.getOrDefault(node, 0L)) {
-      reply.send(503, null);
-      return;
-    }
     if (path.startsWith("/keys/")) {
       Value value = keys.get(path.substring("/keys/".length()));
       if (value == null) {
         reply.send(404, Codec.map().put("ledger_rev", revision));
       } else {
-        ObjectNode answer = Codec.map().put("path", path.substring(6)).put("stamp", value.stamp());
-        answer.put("hold", value.hold());
-        answer.set("data", value.data());
-        reply.send(200, answer);
+        ObjectNode found = Codec.map().put("path", path.substring(6)).put("stamp", value.stamp());
+        found.put("hold", value.hold());
+        found.set("data", value.data());
+        reply.send(200, found);
       }
     } else if (path.startsWith("/keys?")) {
       range(query(path), reply);
     } else if (path.equals("/commit")) {
-      commit(body, reply);
+      if (clock.now() < lateUntil && random.nextInt(1000) < lateShare) {
+        clock.in(2_000_000 + random.nextInt(10_000_000), () -> commitLate(body));
+      } else {
+        commit(body, reply);
+      }
     } else if (path.equals("/holds")) {
       Hold hold = new Hold();
       hold.ttl = body.path("ttl_ms").asLong() * 1000;
@@ -279,6 +329,10 @@
         String key = op.path("put").asText();
         keys.put(key, new Value(op.get("data"), revision, op.path("hold").asLong(0)));
         log.add(new Change(key, op.get("data"), revision));
+        if (key.equals(Keys.LEADER)) {
+          leaderKeys++;
+          onLeaderKey.accept(op.path("data").path("name").asText());
+        }
       } else if (keys.remove(op.path("remove").asText()) != null) {
         log.add(new Change(op.path("remove").asText(), null, revision));
       }
--- a/src/test/java/org/dewreach/sim/SimWorker.java
+++ b/src/test/java/org/dewreach/sim/SimWorker.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Random;
 import org.dewreach.wire.Codec;
 import org.dewreach.wire.JobRequest;
@@ -51,6 +52,7 @@
     boolean hidesTasks;
     boolean ignoresHalts;
     boolean claimsDone;
+    boolean startsHalted;
   }
 
   SimWorker(
@@ -362,12 +364,53 @@
   }
 
   private void exit(String key, Piece piece, String cause) {
+    if (world.faults.startsHalted && piece.standing.equals("pulling")) {
+      world.clock.in(3_000_000, () -> world.checker.onStart(this, jobOf(key), indexOf(key)));
+    }
     piece.standing = "exited";
     piece.cause = cause;
     leave(key, piece, cause.equals("done") && !world.faults.claimsDone);
     change();
   }
 
+  /** True if it would take a start and carry it out. */
+  boolean takesWork() {
+    return !dead && !hung() && !sick && recallAt < 0;
+  }
+
+  /** Adds what is on the machine, running or to be run, to the use of each team. */
+  void addUse(Map<String, Double> used) {
+    onIt().forEach(spec -> used.merge(spec.team(), spec.cpus(), Double::sum));
+  }
+
+  private List<JobRequest> onIt() {
+    return pieces.entrySet().stream()
+        .filter(entry -> !entry.getValue().standing.equals("exited"))
+        .map(entry -> world.users.spec(jobOf(entry.getKey())))
+        .filter(Objects::nonNull)
+        .toList();
+  }
+
+  /** True if one more task of the job may be put here, by place and by room. */
+  boolean fits(JobRequest spec) {
+    double cpusUsed = onIt().stream().mapToDouble(JobRequest::cpus).sum();
+    double memoryUsed = onIt().stream().mapToDouble(JobRequest::memoryGb).sum();
+    return (spec.types() == null || spec.types().contains(type))
+        && (spec.zone() == null || spec.zone().equals(zone))
+        && (spec.spot() || !spot)
+        && cpusUsed + spec.cpus() <= cpus
+        && memoryUsed + spec.memoryGb() <= memoryGb;
+  }
+
+  /** The tasks of a job that are here, running or to be run. */
+  List<Integer> tasksOf(String jobId) {
+    return pieces.entrySet().stream()
+        .filter(entry -> jobOf(entry.getKey()).equals(jobId))
+        .filter(entry -> !entry.getValue().standing.equals("exited"))
+        .map(entry -> indexOf(entry.getKey()))
+        .toList();
+  }
+
   List<String> running() {
     return pieces.entrySet().stream().filter(e -> e.getValue().onMachine).map(Map.Entry::getKey).toList();
   }
