Jobs that fail everywhere are told from sick machines

Cause, from reading: a machine on which tasks of two jobs failed was set aside and returned, and two jobs with a mistake meet on the first machine of the list; such a job was tried again with all its tasks, and machines were rented for it.

A job that failed on two machines in a row without getting anywhere is doubtful: it clears the machines it failed on, is tried with one task at a time, rests from 2 s to 60 s by the machines it failed on, and nothing is rented or stopped for it. A machine that is set aside keeps its tasks for 8 s, in which it may be cleared. A replica that has run for 30 s counts as getting somewhere.

--- a/src/main/java/org/dewreach/controller/Dispatcher.java
+++ b/src/main/java/org/dewreach/controller/Dispatcher.java
@@ -119,13 +119,15 @@
         boolean gang = job.spec().shape() == Shape.GANG;
         int most = gang ? room : Math.min(room, MOST_PLACED - placed);
         // Guards against replicas that need each other's zone and lost it late: never one alone.
-        if (!whole(job) && QueueOrder.toBegin(job, nowMicros + wallOffset)) {
+        boolean one = job.doubtful() || QueueOrder.toBegin(job, nowMicros + wallOffset);
+        if (one && !whole(job)) {
           most = 1;
         }
         started = place(job, most, nowMicros);
         placed += started;
       }
-      if (started < room) {
+      // Nothing is rented, and nobody stopped, for a job that fails everywhere.
+      if (started < room && !job.doubtful()) {
         if (started == 0 && !barred) {
           full.add(likeness(job, nowMicros));
         }
--- a/src/main/java/org/dewreach/controller/FleetDesk.java
+++ b/src/main/java/org/dewreach/controller/FleetDesk.java
@@ -77,6 +77,9 @@
   private static final int MOST_REMEMBERED = 4_000;
   private static final int MOST_RENT_TRIES = 4;
 
+  /** A machine that is set aside keeps its tasks for so long, in which it may be cleared. Ours. */
+  private static final long TRIED_ELSEWHERE = 8_000_000;
+
   /** A rental request on its way. */
   private static final class Asked {
     final String name;
@@ -324,7 +327,9 @@
 
   private void drain(long nowMicros) {
     for (Machine machine : List.copyOf(books.machines().values())) {
-      boolean leaving = machine.recallAt() >= 0 || machine.setAside();
+      // A job that fails everywhere has been tried elsewhere by then.
+      boolean faulty = machine.setAside() && nowMicros - machine.setAsideAt() > TRIED_ELSEWHERE;
+      boolean leaving = machine.recallAt() >= 0 || faulty;
       if (!leaving || machine.phase() == MachinePhase.RETURNING) {
         continue;
       }
@@ -332,7 +337,7 @@
         LOG.info(
             "machine {} drains: {}",
             machine.name(),
-            machine.setAside() ? "set aside" : "to be taken");
+            faulty ? "set aside" : "to be taken");
         machine.become(MachinePhase.DRAINING, nowMicros);
         books.touch();
       }
--- a/src/main/java/org/dewreach/controller/ReportDesk.java
+++ b/src/main/java/org/dewreach/controller/ReportDesk.java
@@ -14,6 +14,7 @@
 import org.dewreach.task.TaskPhase;
 import org.dewreach.wire.Codec;
 import org.dewreach.wire.Order;
+import org.dewreach.wire.Shape;
 import org.dewreach.wire.TaskName;
 import org.dewreach.wire.WorkerReport;
 import org.dewreach.wire.WorkerReport.Cause;
@@ -43,6 +44,9 @@
 
   private static final long GRACE_SLACK = 5_000_000;
 
+  /** A replica that has run for this long works there. Ours. */
+  private static final long RUNS_WELL = 30_000_000;
+
   /** The other attempt that a worker tells of is halted with its next reports. Ours. */
   private static final long IN_USE_PAUSE = 10_000_000;
 
@@ -246,7 +250,14 @@
     }
     switch (state) {
       case PULLING -> task.become(TaskPhase.PULLING, nowMicros);
-      case RUNNING -> task.become(TaskPhase.RUNNING, nowMicros);
+      case RUNNING -> {
+        task.become(TaskPhase.RUNNING, nowMicros);
+        boolean replica = task.spec().shape() == Shape.SERVICE;
+        if (replica && nowMicros - task.startedAt() > RUNS_WELL) {
+          // A service never completes: that it runs for a while says as much.
+          task.job().succeeded();
+        }
+      }
       case FLUSHING -> task.become(TaskPhase.STOPPING, nowMicros);
       case EXITED -> throw new IllegalArgumentException("handled by onExit");
     }
@@ -263,18 +274,15 @@
       case ERROR -> {
         job.failedOn(machine.name(), nowMicros);
         LOG.info("task {} failed on {}", task.name(), machine.name());
-        // A job that fails wherever it goes says nothing about the machine.
-        if (job.suspects(nowMicros).size() <= 2) {
+        if (job.doubtful()) {
+          clear(job, nowMicros);
+        } else {
           machine.erredJobs().add(job.id());
-        }
-        machine.erred();
-        // One job's failures tell as much where its other tasks have completed elsewhere.
-        boolean faulty =
-            machine.erredJobs().size() >= MOST_ERRED_JOBS
-                || machine.errors() >= MOST_ERRORS && job.doneCount() > 0;
-        if (faulty && !machine.setAside()) {
-          LOG.info("machine {} set aside: {} tasks failed", machine.name(), machine.errors());
-          machine.setAside(true);
+          machine.erred();
+          if (faulty(machine, job) && !machine.setAside()) {
+            LOG.info("machine {} set aside: {} tasks failed", machine.name(), machine.errors());
+            machine.setAside(nowMicros);
+          }
         }
       }
       case FULL -> machine.refusedAt(nowMicros);
@@ -286,6 +294,30 @@
     }
   }
 
+  /** One job's failures tell as much where its other tasks have completed elsewhere. */
+  private static boolean faulty(Machine machine, Job job) {
+    return machine.erredJobs().size() >= MOST_ERRED_JOBS
+        || machine.errors() >= MOST_ERRORS && job.doneCount() > 0;
+  }
+
+  /**
+   * A job that fails wherever it goes says nothing about the machines.
+   *
+   * <p>Guards against healthy machines that are set aside, and rented anew, because two jobs with a
+   * mistake met there.
+   */
+  private void clear(Job job, long nowMicros) {
+    for (String name : job.suspects(nowMicros)) {
+      Machine machine = books.machines().get(name);
+      boolean blamed = machine != null && machine.erredJobs().remove(job.id());
+      if (blamed && machine.setAside() && !faulty(machine, job)) {
+        LOG.info("machine {} is given tasks again: job {} fails everywhere", name, job.id());
+        machine.notSetAside();
+        books.touch();
+      }
+    }
+  }
+
   /** What a task that the books bind here needs, after a report that is sure to show all. */
   private void settleBound(
       Machine machine,
--- a/src/main/java/org/dewreach/job/Job.java
+++ b/src/main/java/org/dewreach/job/Job.java
@@ -17,6 +17,9 @@
 public final class Job {
   private static final int MOST_SUSPECTS = 8;
 
+  /** So many machines on which it failed in a row speak against the job. Ours. */
+  private static final int DOUBTFUL_FROM = 2;
+
   /** A machine on which a task of the job failed is avoided by it for this long. Ours. */
   private static final long SUSPECTED_FOR = 60_000_000;
 
@@ -35,7 +38,7 @@
   private long withdrawAskedAt;
   private long withdrawnAt = Long.MIN_VALUE / 2;
   private int cursor;
-  private int errors;
+  private int failures;
   private long notBefore;
   private int doneCount;
   private int boundOpen;
@@ -281,16 +284,28 @@
     return suspects.keySet();
   }
 
-  /** A task failed: the job rests longer each time, and avoids the machine. */
+  /**
+   * A task failed: the job avoids the machine, and rests the longer the more machines it failed on.
+   * Several tasks that fail on one machine say no more than one.
+   */
   public void failedOn(String machine, long nowMicros) {
+    if (!suspects(nowMicros).contains(machine)) {
+      failures++;
+    }
     avoid(machine, nowMicros + SUSPECTED_FOR);
-    errors++;
-    if (suspects.size() > 1) {
-      long pause = Math.min(60_000_000L, 500_000L << Math.min(errors, 8));
-      notBefore = nowMicros + pause;
+    if (doubtful()) {
+      notBefore = nowMicros + Math.min(60_000_000L, 500_000L << Math.min(failures, 7));
     }
   }
 
+  /**
+   * True if it failed wherever it went since it last got anywhere: that speaks against the job, not
+   * the machines. It is tried with one task at a time then.
+   */
+  public boolean doubtful() {
+    return failures >= DOUBTFUL_FROM;
+  }
+
   /** Its tasks are not placed on the machine until then, or until many others were avoided since. */
   public void avoid(String machine, long untilMicros) {
     suspects.remove(machine);
@@ -306,7 +321,7 @@
   }
 
   public void succeeded() {
-    errors = 0;
+    failures = 0;
     notBefore = 0;
   }
 
--- a/src/main/java/org/dewreach/machine/Machine.java
+++ b/src/main/java/org/dewreach/machine/Machine.java
@@ -43,7 +43,7 @@
   private double usedMemoryGb;
   private final int[] boundByUrgency = new int[Urgency.values().length];
   private int errors;
-  private boolean setAside;
+  private long setAsideAt = -1;
   private boolean retiring;
   private boolean everUp;
   private long refusedAt = Long.MIN_VALUE / 2;
@@ -260,12 +260,24 @@
     retiring = now;
   }
 
+  /** True if it is taken for faulty: it is given nothing new. */
   public boolean setAside() {
-    return setAside;
+    return setAsideAt >= 0;
   }
 
-  public void setAside(boolean now) {
-    setAside = now;
+  /** When it was set aside. */
+  public long setAsideAt() {
+    return setAsideAt;
+  }
+
+  public void setAside(long nowMicros) {
+    setAsideAt = nowMicros;
+  }
+
+  /** What failed here failed elsewhere too. */
+  public void notSetAside() {
+    setAsideAt = -1;
+    errors = 0;
   }
 
   /** When its worker last refused a start that the books said would fit. */
@@ -454,7 +466,7 @@
   public boolean usable() {
     return phase == MachinePhase.UP
         && recorded
-        && !setAside
+        && !setAside()
         && !retiring
         && recallAt < 0
         && !unreached
--- a/src/test/java/org/dewreach/controller/DispatcherTest.java
+++ b/src/test/java/org/dewreach/controller/DispatcherTest.java
@@ -135,4 +135,23 @@
     dispatcher.pass(62 * S, each -> true, 5 * S);
     assertEquals(1, job.bound().size());
   }
+
+  /** Guards against a job that fails everywhere holding room, or having machines rented for it. */
+  @Test
+  void aJobThatFailsEverywhereIsTriedWithOneTask() {
+    box("m1", true);
+    Job job = job("req-1", 50, true);
+    job.failedOn("m8", S);
+    dispatcher.pass(2 * S, each -> true, 5 * S);
+    assertEquals(10, job.bound().size(), "one machine says little");
+    List.copyOf(job.bound().values()).forEach(task -> books.unbind(task, "test", 3 * S));
+    job.failedOn("m9", 3 * S);
+    assertEquals(List.of(), dispatcher.pass(4 * S, each -> true, 5 * S));
+    assertEquals(0, job.bound().size(), "it rests");
+    assertEquals(List.of(), dispatcher.pass(6 * S, each -> true, 5 * S));
+    assertEquals(1, job.bound().size());
+    books.markDone(job, 7);
+    dispatcher.pass(7 * S, each -> true, 5 * S);
+    assertEquals(10, job.bound().size(), "it got somewhere");
+  }
 }
--- a/src/test/java/org/dewreach/controller/ReportDeskTest.java
+++ b/src/test/java/org/dewreach/controller/ReportDeskTest.java
@@ -222,4 +222,66 @@
     desk.take(machine, report(machine, 1, 4, TERM), true, 10 * S);
     assertTrue(machine.usable());
   }
+
+  private Job other(String id) {
+    JobRequest spec = job.spec();
+    Job other =
+        new Job(
+            new JobRequest(
+                id, spec.lane(), spec.team(), spec.shape(), spec.urgency(), 4, 1, 0, 1, "img", 1,
+                null, null, false, false, true, 10 * S, 0, 0, -1),
+            0,
+            false,
+            JobPhase.LIVE);
+    books.jobs().put(id, other);
+    return other;
+  }
+
+  /** Starts a task of the job there, which fails at once. */
+  private void fail(Job failing, Machine machine, long atMicros) {
+    int index = failing.nextPending();
+    long attempt = books.nextAttempt();
+    books.bind(failing, index, attempt, machine, TaskPhase.STARTING, atMicros);
+    ReportedTask failed =
+        new ReportedTask(
+            new TaskName(failing.id(), index), attempt, TaskState.EXITED, Cause.ERROR);
+    long next = machine.sequence() + 1;
+    desk.take(machine, report(machine, 1, next, TERM, failed), true, atMicros);
+  }
+
+  /** Guards against healthy machines given up because of jobs that were submitted with a mistake. */
+  @Test
+  void jobsThatFailEverywhereSayNothingAboutTheMachines() {
+    List<Machine> machines =
+        List.of(machine("m1", MachinePhase.BOOTING), machine("m2", MachinePhase.BOOTING));
+    Job second = other("req-000002");
+    fail(job, machines.get(0), S);
+    fail(second, machines.get(0), S);
+    assertTrue(machines.get(0).setAside(), "two jobs failed there, and nowhere else yet");
+    fail(job, machines.get(1), 3 * S);
+    fail(second, machines.get(1), 4 * S);
+    machines.forEach(each -> assertFalse(each.setAside(), each.name()));
+    for (int round = 1; round < 10; round++) {
+      for (Machine each : machines) {
+        fail(job, each, round * 65 * S);
+        fail(second, each, round * 65 * S);
+        assertFalse(each.setAside(), each.name() + " in round " + round);
+      }
+    }
+    assertTrue(job.notBefore() - 9 * 65 * S >= 60 * S, "it rests for as long as it ever does");
+  }
+
+  /** A sick machine is found out although its jobs are new, and by jobs that complete elsewhere. */
+  @Test
+  void jobsThatCompleteElsewhereSpeakAgainstAMachine() {
+    Machine sick = machine("m1", MachinePhase.BOOTING);
+    Machine well = machine("m2", MachinePhase.BOOTING);
+    fail(job, sick, S);
+    desk.take(well, report(well, 1, 1, TERM, shown(3, TaskState.EXITED, Cause.DONE)), true, 2 * S);
+    assertFalse(job.doubtful());
+    fail(job, sick, 3 * S);
+    fail(job, sick, 4 * S);
+    assertTrue(sick.setAside());
+    assertFalse(well.setAside());
+  }
 }
