--- a/src/test/java/org/dewreach/sim/MeetingsTest.java
+++ b/src/test/java/org/dewreach/sim/MeetingsTest.java
@@ -196,6 +196,7 @@
       }
     },
 
+    /** Guard: {@code Term.allSeen}. */
     HAND_OVER_AND_BACK {
       @Override
       void bring(Day day) {
@@ -223,6 +224,7 @@
       }
     },
 
+    /** No guard was found yet whose removal turns this one alone red. */
     REQUEST_AT_THE_END {
       @Override
       void bring(Day day) {
@@ -239,6 +241,7 @@
       }
     },
 
+    /** Guards: {@code FleetDesk.leaseSurelyOver}, {@code Term.allSeen}. */
     CUT_ZONE {
       @Override
       void bring(Day day) {
@@ -258,6 +261,7 @@
       }
     },
 
+    /** Guard: {@code SortFirstFit.permitted}. */
     BOUND_TO_ONE_ZONE {
       @Override
       void bring(Day day) {
@@ -292,6 +296,7 @@
       }
     },
 
+    /** Guard: {@code FleetDesk.leaseSurelyOver}. */
     MUTE_MACHINES {
       @Override
       void bring(Day day) {
@@ -310,6 +315,7 @@
       }
     },
 
+    /** Guards: {@code Machine.isNewer}, {@code Term.allSeen}. */
     OLD_REPORTS {
       @Override
       void bring(Day day) {
@@ -332,6 +338,7 @@
       }
     },
 
+    /** Guards: {@code Term.allSeen}, {@code FleetDesk.leaseSurelyOver}. */
     AT_THE_LIMIT {
       @Override
       void bring(Day day) {
@@ -361,6 +368,7 @@
       }
     },
 
+    /** Guards: {@code Term.allSeen}, {@code FleetDesk.leaseSurelyOver}. */
     LEADER_ALONE_WITH_WORKERS {
       @Override
       void bring(Day day) {
@@ -384,6 +392,7 @@
       }
     },
 
+    /** Guards: {@code Term.allSeen}; with seed 1 the leader condition in {@code CommitQueue.send}. */
     TEN_LEADERS {
       @Override
       void bring(Day day) {
@@ -403,6 +412,7 @@
       }
     },
 
+    /** No guard was found yet whose removal turns this one alone red. */
     SLOW_STATE {
       @Override
       void bring(Day day) {
@@ -421,6 +431,7 @@
       }
     },
 
+    /** Guards: {@code Machine.isNewer}, {@code FleetDesk.leaseSurelyOver}. */
     MORE_WORK_THAN_ROOM {
       @Override
       void bring(Day day) {
@@ -441,6 +452,7 @@
       }
     },
 
+    /** Guards: {@code FleetDesk.leaseSurelyOver}; with seed 1 {@code Task.mayStartLate}. */
     HELD_COMMANDS {
       @Override
       void bring(Day day) {
@@ -460,6 +472,7 @@
       }
     },
 
+    /** No guard was found yet whose removal turns this one alone red. */
     ALL_AWAY {
       @Override
       void bring(Day day) {
@@ -479,6 +492,7 @@
       }
     },
 
+    /** Guard: {@code FleetDesk.leaseSurelyOver}, with seed 3. */
     CANCELLED_AT_THE_REFUSAL {
       @Override
       void bring(Day day) {
@@ -496,6 +510,7 @@
       }
     },
 
+    /** Guards: {@code Term.allSeen}, {@code FleetDesk.leaseSurelyOver}. */
     LEADER_ENDS_UNHEARD {
       @Override
       void bring(Day day) {
@@ -523,6 +538,7 @@
       }
     },
 
+    /** Guard: {@code Term.allSeen}. */
     HELD_REPORT {
       @Override
       void bring(Day day) {
@@ -557,6 +573,7 @@
       }
     },
 
+    /** Guards: {@code Term.allSeen}; with seed 2 the mark in {@code CommitQueue.onConflict}. */
     LATE_TRANSACTIONS {
       @Override
       void bring(Day day) {
@@ -577,6 +594,7 @@
       }
     },
 
+    /** Guard: {@code Term.allSeen}. */
     ENDS_FAR_APART {
       @Override
       void bring(Day day) {
