--- a/src/test/java/org/dewreach/sim/Checker.java
+++ b/src/test/java/org/dewreach/sim/Checker.java
@@ -329,7 +329,9 @@
 
   /** Jobs told to be cancelled of which a task still runs. */
   long withdrawnThatRun() {
-    return jobs.values().stream().filter(j -> j.withdrawnToldAt >= 0 && !j.running.isEmpty()).count();
+    return jobs.values().stream()
+        .filter(job -> job.withdrawnToldAt >= 0 && !job.running.isEmpty())
+        .count();
   }
 
   long acceptedAt(String id) {
--- a/src/test/java/org/dewreach/sim/MeetingsTest.java
+++ b/src/test/java/org/dewreach/sim/MeetingsTest.java
@@ -392,13 +392,14 @@
       }
     },
 
-    /** Guards: {@code Term.allSeen}; with seed 1 the leader condition in {@code CommitQueue.send}. */
+    /** Guards: {@code Term.allSeen}; seed 1: the leader condition in {@code CommitQueue.send}. */
     TEN_LEADERS {
       @Override
       void bring(Day day) {
         day.world.changeLeaders(10, 11 * S);
         if (day.oneIn(2)) {
-          day.in(day.between(10, 60), () -> day.world.state.outage((long) (day.between(5, 45) * S)));
+          long lasts = (long) (day.between(5, 45) * S);
+          day.in(day.between(10, 60), () -> day.world.state.outage(lasts));
         }
         for (double at = 1; at < 100; at += day.between(8, 20)) {
           day.in(at, () -> day.world.users.cancelNow(1, day.oneIn(2) ? 0 : 8 * S));
@@ -599,7 +600,8 @@
       @Override
       void bring(Day day) {
         for (int i = 0; i < 12; i++) {
-          day.in(day.between(0, 30), () -> day.world.users.arriveLong(2 + day.random.nextInt(2), 25 * S));
+          int tasks = 2 + day.random.nextInt(2);
+          day.in(day.between(0, 30), () -> day.world.users.arriveLong(tasks, 25 * S));
         }
         for (double at = 8; at < 80; at += day.between(6, 20)) {
           day.in(at, day::disturbNode);
--- a/src/test/java/org/dewreach/sim/RulesTest.java
+++ b/src/test/java/org/dewreach/sim/RulesTest.java
@@ -154,7 +154,8 @@
         world.clock.in(12 * S, () -> world.network.heldUp = 0);
       }
       case 26 -> world.changeLeaders(3, 9 * S);
-      case 27 -> world.state.lateWrites(100 + random.nextInt(400), now + random.nextInt(25_000_000));
+      case 27 ->
+          world.state.lateWrites(100 + random.nextInt(400), now + random.nextInt(25_000_000));
       case 28 -> world.state.slow(now + random.nextInt(25_000_000));
       case 29 -> world.users.cancelNow(1 + random.nextInt(8), random.nextInt(10_000_000));
       case 30 -> world.users.cancelAtEnd(500, now + random.nextInt(30_000_000));
