--- /dev/null
+++ b/src/test/java/org/dewreach/controller/TermTest.java
@@ -0,0 +1,122 @@
+package org.dewreach.controller;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
+import java.util.Map;
+import org.dewreach.cloud.CloudService;
+import org.dewreach.config.Settings;
+import org.dewreach.config.Tuning;
+import org.dewreach.port.Calls;
+import org.dewreach.port.Effect;
+import org.dewreach.port.Event;
+import org.dewreach.store.Keys;
+import org.dewreach.store.StateService;
+import org.dewreach.wire.Codec;
+import org.dewreach.wire.MachineType;
+import org.dewreach.wire.WorkerReport;
+import org.junit.jupiter.api.Test;
+
+/** A new leader with one machine of an earlier term, which it does not hear. */
+class TermTest {
+  private static final long S = 1_000_000;
+  private static final long LEASE = 10 * S;
+  private static final Settings SETTINGS = settings();
+
+  private final Calls calls = new Calls();
+  private final StateService state = new StateService(calls);
+  private final CloudService cloud = new CloudService(calls, 100);
+  private final CatalogKeeper catalog = new CatalogKeeper(state, cloud);
+  private long authorityFrom;
+  private boolean answersReads = true;
+  private final Term term =
+      new Term(
+          90, calls, state, cloud, catalog, SETTINGS, Tuning.DEFAULT, now -> now >= authorityFrom,
+          () -> {}, () -> {}, () -> Long.MIN_VALUE, 0, 0);
+
+  private static Settings settings() {
+    Settings.Address any = new Settings.Address("127.0.0.1", 1);
+    return new Settings(
+        "n0", "a", any, any, List.of(new Settings.Member("n2", "b", any)), any, any,
+        List.of("a", "b"), 0, Map.of("red", new Settings.Team("red", 4, 10, 0, 0)), List.of(),
+        new Settings.Workers(S, LEASE, 30 * S), new Settings.StateLimits(100, 50, 8192, 24),
+        new Settings.CloudLimits(100, 3 * S), new Settings.Limits(0.5, 200, 500));
+  }
+
+  /** Answers reads of the books; whatever else is asked for gets no answer. */
+  private void tick(long nowMicros) {
+    catalog.tick(nowMicros, true);
+    term.tick(nowMicros);
+    for (List<Effect> open = calls.drain(); !open.isEmpty(); open = calls.drain()) {
+      for (Effect effect : open) {
+        if (effect instanceof Effect.Call call) {
+          ObjectNode answer = answersReads ? books(call.path()) : null;
+          if (answer != null) {
+            calls.reply(nowMicros, new Event.Reply(call.callId(), 200, answer));
+          }
+        }
+      }
+    }
+  }
+
+  private static ObjectNode books(String path) {
+    MachineType type = new MachineType("box", 8, 0, 32, 50, 1, 1, 0.3, 5 * S, List.of("a"));
+    if (path.equals("/keys/" + Keys.CATALOG)) {
+      return Codec.map().set("data", MachineType.catalogNode(List.of(type)));
+    }
+    if (!path.startsWith("/keys?")) {
+      return null;
+    }
+    ObjectNode answer = Codec.map().put("ledger_rev", 80).put("more", false);
+    var entries = answer.putArray("entries");
+    if (path.contains(Keys.MACHINES)) {
+      ObjectNode page = entries.addObject().put("path", Keys.machines(0)).put("stamp", 70);
+      page.putObject("data").putObject("machines").putArray("m1")
+          .add("box").add("a").add(false).add(0).add(true);
+    }
+    return answer;
+  }
+
+  private String phase() {
+    ObjectNode numbers = Codec.map();
+    term.fill(numbers);
+    return numbers.path("phase").asText();
+  }
+
+  private void play(long fromMicros, long untilMicros) {
+    for (long at = fromMicros; at < untilMicros; at += 100_000) {
+      tick(at);
+    }
+  }
+
+  /**
+   * Guards against leases counted from the reading of the books: until this leader may act, the one
+   * before answers under promises.
+   */
+  @Test
+  void leasesOfEarlierTermsAreCountedFromWhenTheLeaderMayAct() {
+    authorityFrom = 3 * S;
+    play(0, 2 * S);
+    assertEquals("RECOVERING", phase());
+    play(2 * S, 3 * S + LEASE);
+    assertEquals("RECOVERING", phase(), "answered at 3 s, it runs tasks until 13 s");
+    play(3 * S + LEASE, 5 * S + LEASE);
+    assertEquals("ACTIVE", phase());
+  }
+
+  /** Guards against leases renewed by a leader that does not know what was cancelled. */
+  @Test
+  void noWorkerIsAnsweredBeforeTheBooksAreRead() {
+    answersReads = false;
+    tick(S);
+    WorkerReport report =
+        new WorkerReport("m1", "x:1", "box", "a", false, 1, 5, 60, -1, List.of());
+    term.report(7, report, S);
+    Effect.Respond respond = (Effect.Respond) calls.drain().get(0);
+    assertEquals(503, respond.status());
+    JsonNode body = respond.body();
+    assertEquals(null, body);
+  }
+}
