--- a/src/main/java/org/dewreach/controller/Core.java
+++ b/src/main/java/org/dewreach/controller/Core.java
@@ -146,7 +146,7 @@
       term.tick(now);
     }
     if (!waitingReports.isEmpty()) {
-      waitingReports.takeDue(election.deciding(), now, this::answerReport);
+      waitingReports.takeDue(undecided(), now, this::answerReport);
     }
     askPeers();
     standIn();
@@ -272,13 +272,18 @@
       calls.respond(request.requestId(), 400, null);
       return;
     }
-    if (election.deciding() && !waitingReports.full()) {
+    if (undecided() && !waitingReports.full()) {
       waitingReports.add(request.requestId(), report, now);
     } else {
       answerReport(request.requestId(), report);
     }
   }
 
+  /** True for a moment: until it is known who leads, and until a new leader has read the books. */
+  private boolean undecided() {
+    return election.deciding() || term != null && !term.loaded();
+  }
+
   private void answerReport(long requestId, WorkerReport report) {
     if (term != null && election.hasAuthority(now)) {
       term.report(requestId, report, now);
--- a/src/main/java/org/dewreach/controller/LeaderDesk.java
+++ b/src/main/java/org/dewreach/controller/LeaderDesk.java
@@ -325,14 +325,11 @@
       }
       case WITHDRAWING -> await(awaitingWithdrawal, id, answer);
       case LIVE -> {
-        if (recorder.stalled(nowMicros)) {
-          answer.later();
-          return;
-        }
         await(awaitingWithdrawal, id, answer);
         job.become(JobPhase.HALTING);
         job.withdrawAskedAt(nowMicros);
-        // At once, not with the next reports: its user is told when they are gone.
+        // At once, not with the next reports, and also while nothing can be written: its user is
+        // told when they are gone.
         List.copyOf(job.bound().values())
             .forEach(task -> books.stop(task, "to be withdrawn", nowMicros));
         books.touch();
@@ -341,6 +338,16 @@
     }
   }
 
+  /**
+   * Guards against answers held back while writes do not get through: users are told at once to
+   * come back, whatever they wait for.
+   */
+  void tick(long nowMicros) {
+    if (recorder.stalled(nowMicros)) {
+      sendBack();
+    }
+  }
+
   private static boolean haltsLong(Job job, long nowMicros) {
     return nowMicros - job.withdrawAskedAt() > HALTS_FOR;
   }
@@ -380,6 +387,10 @@
 
   /** The term is over: users are told to come back. */
   void close() {
+    sendBack();
+  }
+
+  private void sendBack() {
     awaitingAcceptance.values().forEach(list -> list.forEach(Answer::later));
     awaitingWithdrawal.values().forEach(list -> list.forEach(Answer::later));
     awaitingEnd.values().forEach(list -> list.forEach(item -> item.answer().later()));
--- a/src/main/java/org/dewreach/controller/Term.java
+++ b/src/main/java/org/dewreach/controller/Term.java
@@ -180,6 +180,7 @@
       return;
     }
     queue.tick(nowMicros);
+    users.tick(nowMicros);
     if (phase == Phase.LOADING) {
       loader.tick(nowMicros);
       if (!loader.done()) {
@@ -396,12 +397,20 @@
   }
 
   private boolean mayRunIn(Job job, String zone) {
-    boolean bound = job.bound().values().stream().anyMatch(t -> t.machine().zone().equals(zone));
-    return bound || phase != Phase.ACTIVE && !job.ofThisTerm();
+    return job.boundInZone(zone) > 0 || !allSeen(job);
   }
 
-  /** True if a withdrawal that is told now is kept, whoever answers the workers meanwhile. */
+  /**
+   * True if a withdrawal that is told now is kept, whoever answers the workers meanwhile: no task
+   * starts any more, and those that run are gone in time.
+   *
+   * <p>Guards against a machine that goes on after it hung, or hears a start late: what was to start
+   * there would begin after its user was told.
+   */
   private boolean goneInTime(Job job, long nowMicros) {
+    if (!allSeen(job) || job.mayBegin()) {
+      return false;
+    }
     long latest = nowMicros + Math.max(0, settings.workers().goneInTimeMicros());
     return settings.zones().stream()
         .noneMatch(zone -> mayRunIn(job, zone) && lending.lentUntil(zone) > latest);
@@ -410,17 +419,10 @@
   // Reports
 
   void report(long requestId, WorkerReport report, long nowMicros) {
-    if (phase == Phase.LOADING) {
-      // Guards against leases that run out while the books are read: the worker keeps its tasks,
-      // and reports again at once, since it has a new token.
-      if (authority.test(nowMicros) && report.token() <= number) {
-        calls.respond(requestId, 200, noOrders());
-      } else {
-        calls.respond(requestId, 503, null);
-      }
-      return;
-    }
-    if (phase == Phase.CLOSED || !authority.test(nowMicros) || report.token() > number) {
+    // Guards against leases kept alive without knowing which jobs were cancelled: until the books
+    // are read, no worker is answered here. An outage that began in that moment would last as long
+    // as promises do, and with it the tasks of a cancelled job whose machine had hung.
+    if (!loaded() || !authority.test(nowMicros) || report.token() > number) {
       calls.respond(requestId, 503, null);
       return;
     }
--- a/src/main/java/org/dewreach/job/Job.java
+++ b/src/main/java/org/dewreach/job/Job.java
@@ -216,6 +216,11 @@
     cursor = Math.min(cursor, task.index());
   }
 
+  /** True if a bound task was not seen to have begun: it may yet, as long as it is bound. */
+  public boolean mayBegin() {
+    return bound.values().stream().anyMatch(task -> !task.begun());
+  }
+
   public int boundInZone(String zone) {
     return boundInZone.getInt(zone);
   }
--- a/src/main/java/org/dewreach/task/Task.java
+++ b/src/main/java/org/dewreach/task/Task.java
@@ -17,6 +17,7 @@
   private long startedAt;
   private DirectStart direct = DirectStart.NONE;
   private boolean haltSentDirectly;
+  private boolean begun;
 
   public Task(
       Job job, int index, long attempt, Machine machine, TaskPhase phase, long nowMicros) {
@@ -27,6 +28,8 @@
     this.phase = phase;
     this.phaseSince = nowMicros;
     this.boundAt = nowMicros;
+    // One that an earlier leader started and that is saving has begun there.
+    this.begun = phase == TaskPhase.RUNNING || phase == TaskPhase.STOPPING;
   }
 
   /** The one function for every change of state. */
@@ -39,6 +42,7 @@
     }
     if (next == TaskPhase.RUNNING) {
       startedAt = nowMicros;
+      begun = true;
       machine.fetched(job.spec());
     }
     phase = next;
@@ -82,6 +86,11 @@
     return startedAt;
   }
 
+  /** True if it was seen to have begun on its machine, so that it does not start there any more. */
+  public boolean begun() {
+    return begun;
+  }
+
   /** True if a direct start is on its way, or was lost: its absence in a report proves nothing. */
   public boolean mayStartLate() {
     return direct == DirectStart.SENT || direct == DirectStart.LOST;
--- /dev/null
+++ b/src/test/java/org/dewreach/sim/CancellationTest.java
@@ -0,0 +1,130 @@
+package org.dewreach.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** What users are told of cancellations and submissions that cannot be kept just now. */
+class CancellationTest {
+  private static final long S = 1_000_000;
+
+  /** When an answer came, and what it was. */
+  private record Told(long atMicros, int status) {}
+
+  private static List<Told> request(World world, String node, String path, JsonNode body) {
+    List<Told> told = new ArrayList<>();
+    world.toNode(
+        "user",
+        node,
+        "POST",
+        path,
+        body,
+        (status, answer) -> told.add(new Told(world.clock.now(), status)));
+    return told;
+  }
+
+  private static boolean runs(World world, String id) {
+    return world.workers().stream()
+        .flatMap(worker -> worker.running().stream())
+        .anyMatch(piece -> piece.startsWith(id + "/"));
+  }
+
+  private static List<String> running(World world) {
+    return world.users.ids().stream().filter(id -> runs(world, id)).toList();
+  }
+
+  /** Red without the halts of {@code LeaderDesk.withdraw} before anything can be written. */
+  @ParameterizedTest(name = "seed {0}")
+  @ValueSource(longs = {1, 2, 3, 4})
+  @DisplayName("In an outage a cancellation halts the tasks, and its user is told at once to return")
+  void halted(long seed) {
+    World world = new World(seed);
+    world.live(60 * S, 1_500_000);
+    world.play(60 * S);
+    world.state.outage(35 * S);
+    world.play(64 * S);
+    List<String> ids = running(world);
+    assertTrue(ids.size() >= 3, "hardly a job runs: " + ids);
+    List<List<Told>> told = new ArrayList<>();
+    for (String id : ids) {
+      world.checker.onAbortAsked(id);
+      told.add(request(world, world.leading(), "/work/" + id + "/abort", null));
+    }
+    world.play(64 * S + 300_000);
+    for (List<Told> each : told) {
+      assertEquals(1, each.size(), "an answer was held back");
+      assertEquals(503, each.get(0).status());
+    }
+    world.play(66 * S);
+    ids.forEach(id -> assertTrue(!runs(world, id), id + " runs on"));
+    world.play(96 * S);
+    ids.forEach(id -> world.users.withdraw(id, world.leading()));
+    world.play(98 * S);
+    ids.forEach(id -> assertNotEquals(null, world.checker.finalTold(id), id));
+    world.play(150 * S);
+    assertEquals(List.of(), world.checker.broken);
+  }
+
+  /** Red without {@code LeaderDesk.tick}: the answers came after the state service was back. */
+  @ParameterizedTest(name = "seed {0}")
+  @ValueSource(longs = {1, 2, 3, 4})
+  @DisplayName("What waits for a write is sent back once writes do not get through")
+  void sentBack(long seed) {
+    World world = new World(seed);
+    world.live(60 * S, 1_500_000);
+    world.play(60 * S);
+    String leader = world.leading();
+    List<String> ids = running(world);
+    assertTrue(!ids.isEmpty(), "no job runs");
+    world.state.outage(20 * S);
+    List<Told> submitted =
+        request(world, leader, "/work", world.users.spec(ids.get(0)).toNode().put("uid", "req-new"));
+    List<Told> cancelled = request(world, leader, "/work/" + ids.get(0) + "/abort", null);
+    world.play(62 * S);
+    for (List<Told> each : List.of(submitted, cancelled)) {
+      assertEquals(1, each.size(), "an answer was held back");
+      assertEquals(503, each.get(0).status());
+    }
+  }
+
+  /**
+   * A machine hangs with starts on their way, and goes on after its users were told.
+   *
+   * <p>Red without {@code Job.mayBegin} in the gate of withdrawals.
+   */
+  @ParameterizedTest(name = "seed {0}")
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6})
+  @DisplayName("No task begins after its user was told that the job is cancelled")
+  void nothingBegins(long seed) {
+    World world = new World(seed, 1, World.Size.LONG_CANCEL);
+    world.live(150 * S, 700_000);
+    world.play(40 * S);
+    List<String> told = new ArrayList<>();
+    for (int at = 41; at < 140; at += 18) {
+      world.clock.at(at * S, () -> hangAndCancel(world, told));
+    }
+    world.play(220 * S);
+    assertEquals(List.of(), world.checker.broken);
+    long ended = told.stream().filter(id -> world.checker.finalTold(id) != null).count();
+    assertEquals(told.size(), ended, "some were never told");
+  }
+
+  /** Nearly all machines hang, for up to just under a lease, with starts of jobs on their way. */
+  private static void hangAndCancel(World world, List<String> told) {
+    world.workers().forEach(each -> each.hang(8 * S + world.random.nextInt(6_500_000)));
+    world.users.ids().stream()
+        .filter(id -> world.checker.accepted(id) && world.checker.finalTold(id) == null)
+        .forEach(
+            id -> {
+              told.add(id);
+              world.users.withdrawUntilTold(id);
+            });
+  }
+}
--- a/src/test/java/org/dewreach/sim/SimUsers.java
+++ b/src/test/java/org/dewreach/sim/SimUsers.java
@@ -189,6 +189,11 @@
     });
   }
 
+  /** A withdrawal, repeated at any node until it is answered. */
+  void withdrawUntilTold(String id) {
+    abort(id, 0);
+  }
+
   /** One question, to a given node. */
   void ask(String id, String node) {
     Checker.Asked asked = world.checker.ask(id);
--- a/src/test/java/org/dewreach/sim/World.java
+++ b/src/test/java/org/dewreach/sim/World.java
@@ -81,6 +81,9 @@
     /** A handful of machines; small pages, so that paging is always exercised. */
     static final Size SMALL = new Size(1, 10, 30, 24, 250, 60, 4, 4, 7, 5);
 
+    /** Cancellations have time for more than a lease beside the longest loan of a stand-in. */
+    static final Size LONG_CANCEL = new Size(2.5, 15.25, 40.25, 24, 250, 60, 4, 4, 7, 5);
+
     /** Hundreds of machines on small services. */
     static final Size FLEET = new Size(4, 22, 42, 20_000, 350, 90, 3, 200, 1_000, 500);
   }
