--- a/src/test/java/org/dewreach/sim/Network.java
+++ b/src/test/java/org/dewreach/sim/Network.java
@@ -13,6 +13,9 @@
   private final Map<String, Long> refusedUntil = new HashMap<>();
   double lossRate;
 
+  /** Share of what is sent to and from machines that is held up for 1 to 8 s. */
+  double heldUp;
+
   Network(Clock clock, Random random) {
     this.clock = clock;
     this.random = random;
@@ -46,6 +49,10 @@
     if (random.nextInt(200) == 0) {
       delay += random.nextInt(400_000);
     }
+    boolean machine = from.startsWith("vm-") || to.startsWith("vm-");
+    if (heldUp > 0 && machine && random.nextDouble() < heldUp) {
+      delay += 1_000_000 + random.nextInt(7_000_000);
+    }
     long until = cutUntil.getOrDefault(link, 0L);
     if (clock.now() < until) {
       if (!holds.get(link)) {
--- a/src/test/java/org/dewreach/sim/World.java
+++ b/src/test/java/org/dewreach/sim/World.java
@@ -105,6 +105,8 @@
     this.state = new SimState(clock, random, size);
     this.cloud = new SimCloud(this);
     this.users = new SimUsers(this);
+    checker.machines = this::workers;
+    checker.onLastEnd = users::onLastEnd;
     for (String name : NODES) {
       nodeSettings.put(name, settingsOf(name, limitFactor, size));
       nodes.put(name, new NodeProcess());
@@ -138,6 +140,54 @@
     }
   }
 
+  /** Reports of these machines arrive; answers and direct commands to them are lost. */
+  void deafen(List<SimWorker> deaf, long untilMicros) {
+    for (SimWorker worker : deaf) {
+      NODES.forEach(node -> network.cut(node, worker.name, untilMicros, false));
+    }
+  }
+
+  /** These machines reach no controller, while direct commands reach them. */
+  void mute(List<SimWorker> mute, long untilMicros) {
+    for (SimWorker worker : mute) {
+      NODES.forEach(node -> network.refuse(worker.name, node, untilMicros));
+    }
+  }
+
+  /** The node loses the state service and its peers, not its workers or users. */
+  void cutFromStateAndPeers(String node, long untilMicros, boolean hold) {
+    network.part(node, "state", untilMicros, hold);
+    for (String other : NODES) {
+      if (!other.equals(node)) {
+        network.part(node, other, untilMicros, hold);
+      }
+    }
+  }
+
+  /** The leader ends, stands still, or loses the state service, again and again. */
+  void changeLeaders(int times, long everyMicros) {
+    String leader = leading();
+    if (leader != null) {
+      long until = clock.now() + 3_000_000 + random.nextInt(5_000_000);
+      switch (random.nextInt(4)) {
+        case 0 -> crash(leader, 20_000 + random.nextInt(4_000_000));
+        case 1 -> state.refuse(leader, until);
+        case 2 -> freeze(leader, 3_000_000 + random.nextInt(4_000_000));
+        default -> cutFromStateAndPeers(leader, until, random.nextBoolean());
+      }
+    }
+    if (times > 1) {
+      clock.in(
+          everyMicros * 3 / 4 + random.nextLong(everyMicros / 2),
+          () -> changeLeaders(times - 1, everyMicros));
+    }
+  }
+
+  /** Some of the machines that are up, each with the chance given in thousandths. */
+  List<SimWorker> some(int share) {
+    return workers().stream().filter(worker -> random.nextInt(1000) < share).toList();
+  }
+
   private static Settings settingsOf(String name, double limitFactor, Size size) {
     StringBuilder text = new StringBuilder();
     text.append("host_name = \"").append(name);
@@ -447,6 +497,10 @@
   void toNode(
       String from, String name, String method, String path, JsonNode body, SimState.Reply reply) {
     JsonNode sent = copy(body);
+    if (network.refused(from, name)) {
+      clock.in(1_000, () -> reply.send(503, null));
+      return;
+    }
     if (path.equals(unanswered)) {
       clock.in(1_000, () -> reply.send(503, null));
       return;
