Final states outlive terms; an unwritten end hides no job

Cause: what a user may be told was kept by the term that made it durable, or withheld behind a write that was certainly not applied. (1) A job that ended under an earlier leader was in nobody's memory: the next leader loads live jobs only, so each question was a read of the state service, 503 for as long as an outage lasts, and behind the load limit and the lookup rate between outages. (2) A job whose end or cancellation waited to be written was answered 503 as soon as writes stalled, although the write had not been sent, or had been answered as not executed, so that nobody can have read it.

Change: each controller keeps the final states of the jobs that ended last (FinalStates, 10,000), follows them by a watch through all terms (FinalStateWatcher, two requests a second at most) and answers from them before the load limit, with or without authority: a final state never changes. CommitQueue.inDoubt tells whether a write may be applied without our knowing; only then is the user told to come back (AwaitedEnds), otherwise the last durable state is told after a second at the latest.

A cancellation of an accepted job that is answered 404 counts as forgotten.

--- a/src/main/java/org/dewreach/controller/Core.java
+++ b/src/main/java/org/dewreach/controller/Core.java
@@ -7,6 +7,9 @@
 import org.dewreach.cloud.CloudService;
 import org.dewreach.config.Settings;
 import org.dewreach.config.Tuning;
+import org.dewreach.history.FinalState;
+import org.dewreach.history.FinalStateWatcher;
+import org.dewreach.history.FinalStates;
 import org.dewreach.leadership.DelegateRenewer;
 import org.dewreach.leadership.Election;
 import org.dewreach.peer.Forwarded;
@@ -17,6 +20,7 @@
 import org.dewreach.store.StateService;
 import org.dewreach.wire.Codec;
 import org.dewreach.wire.JobRequest;
+import org.dewreach.wire.JobState;
 import org.dewreach.wire.MalformedException;
 import org.dewreach.wire.WorkerReport;
 import org.slf4j.Logger;
@@ -40,6 +44,8 @@
   private final CloudService cloud;
   private final MachineCatalog catalog;
   private final Election election;
+  private final FinalStates finalStates = new FinalStates();
+  private final FinalStateWatcher finalStateWatcher = new FinalStateWatcher(state, finalStates);
   private final LeaderlessRequestHandler direct;
   private final DelegateRenewer delegateRenewer;
   private final LeaderDiscovery discovery;
@@ -84,7 +90,8 @@
             this);
     this.waitingReports = new WaitingReports(settings.limits().maxConnections());
     this.delegateRenewer = new DelegateRenewer(calls, state, settings);
-    this.direct = new LeaderlessRequestHandler(state, catalog, settings, boot, wallOffsetMicros);
+    this.direct =
+        new LeaderlessRequestHandler(state, finalStates, catalog, settings, boot, wallOffsetMicros);
     this.discovery = new LeaderDiscovery(calls, settings, election, delegateRenewer);
     this.forwarder = new LeaderForwarder(calls, direct);
   }
@@ -108,6 +115,7 @@
   private void tick() {
     election.tick(now);
     catalog.tick(now, term != null);
+    finalStateWatcher.tick(now);
     if (term != null) {
       term.tick(now);
     }
@@ -161,6 +169,7 @@
             calls,
             state,
             cloud,
+            finalStates,
             catalog,
             settings,
             tuning,
@@ -258,6 +267,13 @@
       calls.respond(request.requestId(), 404, null);
       return;
     }
+    FinalState finalState = finalStates.get(parsed.jobId());
+    if (finalState != null) {
+      // Before the load limit: guards against answers that cost nothing being shed while requests
+      // that wait for writes fill it, as after an outage.
+      sendFinalState(parsed, finalState, answer(request.requestId(), load.enter(now)));
+      return;
+    }
     if (load.full()) {
       calls.respondRetry(request.requestId(), 503, null, LoadLimiter.BUSY_RETRY_S);
       return;
@@ -266,6 +282,14 @@
     dispatch(request, parsed, answer(request.requestId(), entry));
   }
 
+  /** The answer to any request about a job that has ended: what it ended as. */
+  private static void sendFinalState(UserRequest request, FinalState found, Answer answer) {
+    String id = request.jobId();
+    boolean counts = request instanceof UserRequest.Query;
+    JobState jobState = found.jobState();
+    answer.send(200, counts ? jobState.answer(id, found.done(), 0) : jobState.answer(id), 0);
+  }
+
   /** Gives a user's request to the term of this node, to the leader, or serves it without one. */
   private void dispatch(Event.Request request, UserRequest parsed, Answer answer) {
     if (term != null) {
@@ -368,6 +392,16 @@
     UserRequest parsed =
         UserRequestParser.parse(
             body.path("method").asText(), body.path("path").asText(), body.get("body"));
+    FinalState finalState =
+        parsed == null || parsed.jobId() == null ? null : finalStates.get(parsed.jobId());
+    if (finalState != null) {
+      sendFinalState(
+          parsed,
+          finalState,
+          (status, found, retryAfterS) ->
+              calls.respond(requestId, 200, Forwarded.answer(status, found, retryAfterS)));
+      return;
+    }
     boolean leads = term != null && term.loaded() && election.hasAuthority(now);
     if (parsed == null || parsed.jobId() == null || !leads) {
       calls.respond(requestId, 200, Forwarded.notLeading());
--- a/src/main/java/org/dewreach/controller/JobLookup.java
+++ b/src/main/java/org/dewreach/controller/JobLookup.java
@@ -1,8 +1,8 @@
 package org.dewreach.controller;
 
-import com.github.benmanes.caffeine.cache.Cache;
-import com.github.benmanes.caffeine.cache.Caffeine;
 import org.dewreach.config.Settings;
+import org.dewreach.history.FinalState;
+import org.dewreach.history.FinalStates;
 import org.dewreach.store.Keys;
 import org.dewreach.store.RateBudget;
 import org.dewreach.store.StateService;
@@ -11,10 +11,9 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Looks up jobs that the leader's cluster state does not have, and remembers those that ended. */
+/** Looks up jobs that neither the leader's cluster state nor the known final states have. */
 final class JobLookup {
   private static final Logger LOG = LoggerFactory.getLogger(JobLookup.class);
-  private static final int MAX_REMEMBERED = 5_000;
 
   /**
    * Share of the state service's rate for looking up what the cluster state does not have. A
@@ -35,31 +34,22 @@
   private final LeaderlessJobImporter jobImporter;
   private final StateService state;
   private final RateBudget budget;
-  private final Cache<String, Result> over =
-      Caffeine.newBuilder().maximumSize(MAX_REMEMBERED).executor(Runnable::run).build();
+  private final FinalStates finalStates;
 
   JobLookup(
       ClusterState clusterState,
       LeaderlessJobImporter jobImporter,
       StateService state,
+      FinalStates finalStates,
       Settings settings) {
     this.clusterState = clusterState;
     this.jobImporter = jobImporter;
     this.state = state;
+    this.finalStates = finalStates;
     double rps = settings.stateLimits().rps() * RATE_SHARE;
     this.budget = new RateBudget(rps, rps);
   }
 
-  /** Returns the final state of a job that ended, or null if it is not remembered. */
-  Result remembered(String id) {
-    return over.getIfPresent(id);
-  }
-
-  /** Keeps the final state of a job, as long as there is room. */
-  void remember(String id, Result result) {
-    over.put(id, result);
-  }
-
   /**
    * Reads the state of a job that the cluster state does not have: accepted without us, or over;
    * null if there is none. A job moves from the new records into our cluster state, and from there
@@ -98,12 +88,9 @@
             return;
           }
           try {
-            Result found =
-                new Result(
-                    JobState.of(body.path("data").path("standing").asText()),
-                    body.path("data").path("done").asInt());
-            over.put(id, found);
-            then.onResult(found);
+            FinalState found = FinalState.decode(body.path("data"));
+            finalStates.read(id, found);
+            then.onResult(new Result(found.jobState(), found.done()));
           } catch (MalformedException e) {
             LOG.error("final record of {} not understood", id);
             unknown.run();
--- a/src/main/java/org/dewreach/controller/JobRecordWriter.java
+++ b/src/main/java/org/dewreach/controller/JobRecordWriter.java
@@ -2,7 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.BitSet;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import org.dewreach.history.FinalState;
 import org.dewreach.job.Job;
 import org.dewreach.job.JobPhase;
 import org.dewreach.job.JobRecord;
@@ -46,6 +49,10 @@
   private final CommitQueue queue;
   private final Gate gate;
   private final Listener listener;
+
+  /** For each job whose end is to be written, that write; until its outcome is known. */
+  private final Map<String, Write> ends = new HashMap<>();
+
   private boolean mayFinishWithdrawn;
 
   JobRecordWriter(CommitQueue queue, Gate gate, Listener listener) {
@@ -67,6 +74,15 @@
     return queue.stalled(nowMicros);
   }
 
+  /**
+   * True while the job's end, or its cancellation, may be durable without our knowing: another node
+   * may have read it then. Otherwise the last durable state is the current one.
+   */
+  boolean endInDoubt(Job job) {
+    Write end = ends.get(job.id());
+    return end != null && queue.inDoubt(end);
+  }
+
   /**
    * Takes over a job that was accepted without a leader; false if the queue is full.
    *
@@ -183,41 +199,49 @@
             JobRecord.encode(job.spec(), job.acceptedWallMicros(), withdrawn, snapshot));
     job.writing(true);
     job.progressAt(nowMicros);
-    boolean taken =
-        queue.add(
-            nowMicros,
-            new Write(
-                List.of(new Condition(Keys.job(job.id()), job.stamp())),
-                List.of(put),
-                urgent,
-                (now, outcome, revision) -> {
-                  job.writing(false);
-                  switch (outcome) {
-                    case WRITTEN -> {
-                      job.stamp(revision);
-                      job.durable(JobRecord.kept(snapshot));
-                      if (withdrawn) {
-                        job.become(JobPhase.WITHDRAWN);
-                        listener.onWithdrawn(job, now);
-                      }
-                      pump(job, now);
-                    }
-                    case CONFLICT -> listener.onBroken(job.id() + " changed by somebody", now);
-                    case UNKNOWN -> {
-                      // the term is over
-                    }
+    Write write =
+        new Write(
+            List.of(new Condition(Keys.job(job.id()), job.stamp())),
+            List.of(put),
+            urgent,
+            (now, outcome, revision) -> {
+              decided(job);
+              switch (outcome) {
+                case WRITTEN -> {
+                  job.stamp(revision);
+                  job.durable(JobRecord.kept(snapshot));
+                  if (withdrawn) {
+                    job.become(JobPhase.WITHDRAWN);
+                    listener.onWithdrawn(job, now);
                   }
-                }));
-    if (!taken) {
-      job.writing(false);
+                  pump(job, now);
+                }
+                case CONFLICT -> listener.onBroken(job.id() + " changed by somebody", now);
+                case UNKNOWN -> {
+                  // the term is over
+                }
+              }
+            });
+    if (withdrawn) {
+      ends.put(job.id(), write);
+    }
+    if (!queue.add(nowMicros, write)) {
+      decided(job);
     }
   }
 
+  /** The write of the job's record has an outcome, or was not taken. */
+  private void decided(Job job) {
+    job.writing(false);
+    ends.remove(job.id());
+  }
+
   private void finish(Job job, long nowMicros) {
     boolean withdrawn = job.phase() == JobPhase.WITHDRAWN;
     JobState jobState = withdrawn ? JobState.WITHDRAWN : JobState.DONE;
     List<Change> changes = new ArrayList<>();
-    changes.add(new Change(Keys.over(job.id()), JobRecord.encodeOver(jobState, job.doneCount())));
+    FinalState finalState = new FinalState(jobState, job.doneCount());
+    changes.add(new Change(Keys.over(job.id()), finalState.encode()));
     changes.add(new Change(Keys.job(job.id()), null));
     Write write =
         new Write(
@@ -227,7 +251,7 @@
             changes,
             !withdrawn,
             (now, outcome, revision) -> {
-              job.writing(false);
+              decided(job);
               switch (outcome) {
                 case WRITTEN -> {
                   job.become(JobPhase.OVER);
@@ -241,6 +265,7 @@
             });
     job.writing(true);
     job.become(JobPhase.FINISHING);
+    ends.put(job.id(), write);
     if (!queue.add(nowMicros, write)) {
       listener.onBroken("write queue full", nowMicros);
     }
--- a/src/main/java/org/dewreach/controller/JobRequestHandler.java
+++ b/src/main/java/org/dewreach/controller/JobRequestHandler.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.Map;
 import org.dewreach.config.Settings;
+import org.dewreach.history.FinalState;
+import org.dewreach.history.FinalStates;
 import org.dewreach.job.Admission;
 import org.dewreach.job.Job;
 import org.dewreach.job.JobPhase;
@@ -23,30 +25,31 @@
   /** Users wait 5 s; halts that are heard at all take less than this. A default of this project. */
   private static final long HALT_MICROS = 1_500_000;
 
-  /** A question about a job that is about to end, and what answers it then. */
-  private record AwaitingEnd(Answer answer, Runnable then) {}
-
   private final ClusterState clusterState;
   private final JobRecordWriter recordWriter;
   private final JobLookup lookup;
+  private final FinalStates finalStates;
   private final MachineCatalog catalog;
   private final Settings settings;
   private final long wallOffsetMicros;
   private final Map<String, List<Answer>> awaitingAcceptance = new HashMap<>();
   private final Map<String, List<Answer>> awaitingWithdrawal = new HashMap<>();
-  private final Map<String, List<AwaitingEnd>> awaitingEnd = new HashMap<>();
+  private final AwaitedEnds awaitedEnds;
 
   JobRequestHandler(
       ClusterState clusterState,
       JobRecordWriter recordWriter,
       LeaderlessJobImporter jobImporter,
       StateService state,
+      FinalStates finalStates,
       MachineCatalog catalog,
       Settings settings,
       long wallOffsetMicros) {
     this.clusterState = clusterState;
     this.recordWriter = recordWriter;
-    this.lookup = new JobLookup(clusterState, jobImporter, state, settings);
+    this.lookup = new JobLookup(clusterState, jobImporter, state, finalStates, settings);
+    this.finalStates = finalStates;
+    this.awaitedEnds = new AwaitedEnds(recordWriter);
     this.catalog = catalog;
     this.settings = settings;
     this.wallOffsetMicros = wallOffsetMicros;
@@ -69,11 +72,6 @@
       submitKnown(submit, known, answer, nowMicros);
       return;
     }
-    JobLookup.Result done = lookup.remembered(id);
-    if (done != null) {
-      answer.send(200, done.jobState().answer(id), 0);
-      return;
-    }
     JobRequest spec;
     try {
       spec = JobRequest.parse(submit.body());
@@ -105,12 +103,21 @@
     if (known.phase() == JobPhase.ACCEPTING) {
       await(awaitingAcceptance, id, answer);
     } else if (isEnding(known)) {
-      awaitEnd(id, answer, () -> submit(submit, answer, nowMicros), nowMicros);
+      awaitedEnds.await(
+          known,
+          answer,
+          () -> sendState(known, answer),
+          () -> submit(submit, answer, nowMicros),
+          nowMicros);
     } else {
-      answer.send(200, known.jobState().answer(id), 0);
+      sendState(known, answer);
     }
   }
 
+  private static void sendState(Job job, Answer answer) {
+    answer.send(200, job.jobState().answer(job.id()), 0);
+  }
+
   /**
    * A record exists although the cluster state lacks it: the job is over, or was accepted without
    * us.
@@ -158,50 +165,29 @@
     waiting.computeIfAbsent(id, key -> new ArrayList<>(1)).add(answer);
   }
 
-  /**
-   * True while a write that ends the job may have been applied without our knowing.
-   *
-   * <p>Guards against telling an older state than another node has told: it may have read the new
-   * record while the response to our write was still on its way.
-   */
+  /** True while a write that ends the job has no outcome: {@link AwaitedEnds} answers then. */
   private static boolean isEnding(Job job) {
     return job.phase() == JobPhase.WITHDRAWING
         || job.phase() == JobPhase.FINISHING && job.finalState() == JobState.DONE;
   }
 
-  /** Answers once the job's end is known; at once with 503 if writes do not get through. */
-  private void awaitEnd(String id, Answer answer, Runnable then, long nowMicros) {
-    if (recordWriter.stalled(nowMicros)) {
-      answer.later();
-    } else {
-      awaitingEnd.computeIfAbsent(id, key -> new ArrayList<>(1)).add(new AwaitingEnd(answer, then));
-    }
-  }
-
-  private void onEnd(String id) {
-    List<AwaitingEnd> waiting = awaitingEnd.remove(id);
-    if (waiting != null) {
-      waiting.forEach(item -> item.then().run());
-    }
-  }
-
   private void query(String id, Answer answer, long nowMicros) {
     Job job = clusterState.jobs().get(id);
     if (job != null) {
       if (job.phase() == JobPhase.ACCEPTING) {
         answer.later();
       } else if (isEnding(job)) {
-        awaitEnd(id, answer, () -> query(id, answer, nowMicros), nowMicros);
+        awaitedEnds.await(
+            job,
+            answer,
+            () -> sendStateAndCounts(job, answer),
+            () -> query(id, answer, nowMicros),
+            nowMicros);
       } else {
-        answer.send(200, job.jobState().answer(id, job.doneCount(), job.running()), 0);
+        sendStateAndCounts(job, answer);
       }
       return;
     }
-    JobLookup.Result done = lookup.remembered(id);
-    if (done != null) {
-      answer.send(200, done.jobState().answer(id, done.done(), 0), 0);
-      return;
-    }
     lookup.find(
         id,
         found -> {
@@ -218,6 +204,10 @@
         nowMicros);
   }
 
+  private static void sendStateAndCounts(Job job, Answer answer) {
+    answer.send(200, job.jobState().answer(job.id(), job.doneCount(), job.running()), 0);
+  }
+
   private void withdraw(String id, Answer answer, long nowMicros) {
     Job job = clusterState.jobs().get(id);
     if (job == null) {
@@ -251,11 +241,6 @@
 
   /** A job that the cluster state does not have: over, accepted without us, or none. */
   private void withdrawUnknown(String id, Answer answer, long nowMicros) {
-    JobLookup.Result done = lookup.remembered(id);
-    if (done != null) {
-      answer.send(200, done.jobState().answer(id), 0);
-      return;
-    }
     lookup.find(
         id,
         found -> {
@@ -290,8 +275,10 @@
    */
   void tick(long nowMicros) {
     if (recordWriter.stalled(nowMicros)) {
-      sendBack();
+      sendBackAll(awaitingAcceptance);
+      sendBackAll(awaitingWithdrawal);
     }
+    awaitedEnds.tick(nowMicros);
   }
 
   private static boolean haltsLong(Job job, long nowMicros) {
@@ -324,13 +311,13 @@
 
   void onWithdrawn(Job job) {
     answerAll(awaitingWithdrawal, job.id(), 200, JobState.WITHDRAWN);
-    onEnd(job.id());
+    awaitedEnds.onEnd(job.id());
   }
 
   void onOver(Job job) {
-    lookup.remember(job.id(), new JobLookup.Result(job.finalState(), job.doneCount()));
+    finalStates.ended(job.id(), new FinalState(job.finalState(), job.doneCount()));
     answerAll(awaitingWithdrawal, job.id(), 200, job.finalState());
-    onEnd(job.id());
+    awaitedEnds.onEnd(job.id());
   }
 
   private static void answerAll(
@@ -343,15 +330,13 @@
 
   /** The term is over: users are told to come back. */
   void close() {
-    sendBack();
+    sendBackAll(awaitingAcceptance);
+    sendBackAll(awaitingWithdrawal);
+    awaitedEnds.close();
   }
 
-  private void sendBack() {
-    awaitingAcceptance.values().forEach(list -> list.forEach(Answer::later));
-    awaitingWithdrawal.values().forEach(list -> list.forEach(Answer::later));
-    awaitingEnd.values().forEach(list -> list.forEach(item -> item.answer().later()));
-    awaitingAcceptance.clear();
-    awaitingWithdrawal.clear();
-    awaitingEnd.clear();
+  private static void sendBackAll(Map<String, List<Answer>> waiting) {
+    waiting.values().forEach(answers -> answers.forEach(Answer::later));
+    waiting.clear();
   }
 }
--- a/src/main/java/org/dewreach/controller/LeaderlessRequestHandler.java
+++ b/src/main/java/org/dewreach/controller/LeaderlessRequestHandler.java
@@ -4,6 +4,8 @@
 import java.util.BitSet;
 import java.util.List;
 import org.dewreach.config.Settings;
+import org.dewreach.history.FinalState;
+import org.dewreach.history.FinalStates;
 import org.dewreach.job.Admission;
 import org.dewreach.job.JobRecord;
 import org.dewreach.store.Change;
@@ -39,6 +41,7 @@
   private static final int MAX_READS = 4;
 
   private final StateService state;
+  private final FinalStates finalStates;
   private final MachineCatalog catalog;
   private final Settings settings;
   private final String boot;
@@ -50,11 +53,13 @@
 
   LeaderlessRequestHandler(
       StateService state,
+      FinalStates finalStates,
       MachineCatalog catalog,
       Settings settings,
       String boot,
       long wallOffsetMicros) {
     this.state = state;
+    this.finalStates = finalStates;
     this.catalog = catalog;
     this.settings = settings;
     this.boot = boot;
@@ -174,9 +179,9 @@
             answer.later();
           } else {
             try {
-              JsonNode data = body.path("data");
-              JobState jobState = JobState.of(data.path("standing").asText());
-              then.on(new Found(Keys.over(id), id, null, 0, jobState, data.path("done").asInt()));
+              FinalState state = FinalState.decode(body.path("data"));
+              finalStates.read(id, state);
+              then.on(new Found(Keys.over(id), id, null, 0, state.jobState(), state.done()));
             } catch (MalformedException e) {
               LOG.error("final record of {} not understood", id);
               answer.later();
--- a/src/main/java/org/dewreach/controller/LeadershipTerm.java
+++ b/src/main/java/org/dewreach/controller/LeadershipTerm.java
@@ -9,6 +9,7 @@
 import org.dewreach.cloud.CloudService;
 import org.dewreach.config.Settings;
 import org.dewreach.config.Tuning;
+import org.dewreach.history.FinalStates;
 import org.dewreach.job.Job;
 import org.dewreach.job.JobPhase;
 import org.dewreach.leadership.LeaseDelegations;
@@ -78,6 +79,7 @@
       Calls calls,
       StateService state,
       CloudService cloud,
+      FinalStates finalStates,
       MachineCatalog catalog,
       Settings settings,
       Tuning tuning,
@@ -107,7 +109,14 @@
         new LeaderlessJobImporter(state, clusterState, recordWriter, this::onNotTakenOver);
     this.users =
         new JobRequestHandler(
-            clusterState, recordWriter, jobImporter, state, catalog, settings, wallOffsetMicros);
+            clusterState,
+            recordWriter,
+            jobImporter,
+            state,
+            finalStates,
+            catalog,
+            settings,
+            wallOffsetMicros);
     this.direct =
         new DirectCommandSender(
             number,
--- /dev/null
+++ b/src/main/java/org/dewreach/history/FinalStateWatcher.java
@@ -0,0 +1,150 @@
+package org.dewreach.history;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.dewreach.store.Keys;
+import org.dewreach.store.StateService;
+import org.dewreach.wire.HttpStatus;
+import org.dewreach.wire.MalformedException;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Follows the final records in the state service, on every controller and through all terms.
+ *
+ * <p>After a start it lists what is there, as far as there is room, and then watches for more from
+ * the revision at which the list began. Guards against jobs that only the leader knew which ended
+ * them: when it was gone and the state service out of reach, nothing could be told about them.
+ */
+public final class FinalStateWatcher {
+  private static final Logger LOG = LoggerFactory.getLogger(FinalStateWatcher.class);
+
+  /** About 50 KiB a page. */
+  private static final int PAGE_SIZE = 500;
+
+  private static final long WATCH_MS = 10_000;
+
+  /**
+   * Pause between two requests: two of them a second, of each controller, at the most. A default of
+   * this project.
+   */
+  private static final long PAUSE_MICROS = 500_000;
+
+  private static final long RETRY_MICROS = 1_000_000;
+
+  /** Named states of the watcher. */
+  private enum Phase {
+    /** Pages are to be read. */
+    LISTING,
+    /** A page was asked for. */
+    READING,
+    /** The next watch is to be opened. */
+    PAUSED,
+    /** A watch is open. */
+    WATCHING
+  }
+
+  private final StateService state;
+  private final FinalStates finalStates;
+  private Phase phase = Phase.LISTING;
+  private long nextRequestAt;
+  private String after;
+  private long revision = -1;
+
+  /** A watcher that adds what it finds to the given states. */
+  public FinalStateWatcher(StateService state, FinalStates finalStates) {
+    this.state = state;
+    this.finalStates = finalStates;
+  }
+
+  private void become(Phase next, long notBefore) {
+    phase = next;
+    nextRequestAt = notBefore;
+  }
+
+  /** Sends the next request if it is time. */
+  public void tick(long nowMicros) {
+    if (nowMicros < nextRequestAt) {
+      return;
+    }
+    switch (phase) {
+      case LISTING -> {
+        become(Phase.READING, nowMicros);
+        state.range(Keys.OVER, after, PAGE_SIZE, this::onPage);
+      }
+      case PAUSED -> {
+        become(Phase.WATCHING, nowMicros);
+        state.watch(Keys.OVER, revision, WATCH_MS, this::onChanges);
+      }
+      case READING, WATCHING -> {
+        // a request is under way
+      }
+    }
+  }
+
+  /** The revision up to which the ends of jobs are known; -1 if none is. */
+  public long revision() {
+    return revision;
+  }
+
+  private void onPage(long nowMicros, int status, JsonNode body) {
+    if (status != HttpStatus.OK) {
+      become(Phase.LISTING, nowMicros + RETRY_MICROS);
+      return;
+    }
+    if (after == null) {
+      revision = body.path("ledger_rev").asLong();
+    }
+    JsonNode entries = body.path("entries");
+    for (JsonNode entry : entries) {
+      after = entry.path("path").asText();
+      FinalState found = decode(after, entry.path("data"));
+      if (found != null) {
+        finalStates.listed(jobId(after), found);
+      }
+    }
+    boolean more = body.path("more").asBoolean(false) && !entries.isEmpty();
+    if (more && !finalStates.full()) {
+      become(Phase.LISTING, nowMicros + PAUSE_MICROS);
+    } else {
+      LOG.info("{} final states known at revision {}", finalStates.size(), revision);
+      become(Phase.PAUSED, nowMicros);
+    }
+  }
+
+  private void onChanges(long nowMicros, int status, JsonNode body) {
+    if (status == HttpStatus.GONE) {
+      LOG.info("changes after revision {} are not kept any more, listing anew", revision);
+      after = null;
+      become(Phase.LISTING, nowMicros);
+      return;
+    }
+    if (status != HttpStatus.OK) {
+      become(Phase.PAUSED, nowMicros + RETRY_MICROS);
+      return;
+    }
+    for (JsonNode change : body.path("log")) {
+      if (change.hasNonNull("put")) {
+        String key = change.path("put").asText();
+        FinalState found = decode(key, change.path("data"));
+        if (found != null) {
+          finalStates.ended(jobId(key), found);
+        }
+      }
+    }
+    revision = body.path("ledger_rev").asLong();
+    become(Phase.PAUSED, nowMicros + PAUSE_MICROS);
+  }
+
+  private static String jobId(String key) {
+    return key.substring(Keys.OVER.length());
+  }
+
+  private static FinalState decode(String key, JsonNode value) {
+    try {
+      return FinalState.decode(value);
+    } catch (MalformedException e) {
+      LOG.error("{} not understood, left alone: {}", key, e.getMessage());
+      return null;
+    }
+  }
+}
--- a/src/main/java/org/dewreach/job/JobRecord.java
+++ b/src/main/java/org/dewreach/job/JobRecord.java
@@ -5,7 +5,6 @@
 import java.util.BitSet;
 import org.dewreach.store.CommitQueue;
 import org.dewreach.wire.JobRequest;
-import org.dewreach.wire.JobState;
 import org.dewreach.wire.MalformedException;
 
 /**
@@ -86,9 +85,4 @@
     }
     return new JobRecord(spec, node.path("at").asLong(0), node.path("off").asBoolean(false), done);
   }
-
-  /** The final record of a job. */
-  public static ObjectNode encodeOver(JobState jobState, int done) {
-    return CommitQueue.value().put("standing", jobState.word()).put("done", done);
-  }
 }
--- a/src/main/java/org/dewreach/store/CommitQueue.java
+++ b/src/main/java/org/dewreach/store/CommitQueue.java
@@ -102,6 +102,16 @@
     return !batch.isEmpty() && nowMicros - batchSince > STALLED_MICROS;
   }
 
+  /**
+   * True while the write may be applied without our knowing: it is on its way, or an earlier copy
+   * of it got no answer. A write that waits, or that the service answered as not executed, is
+   * certainly not applied.
+   */
+  public boolean inDoubt(Write write) {
+    boolean undecided = unsure || phase == Phase.SENT || phase == Phase.CHECKING;
+    return undecided && batch.stream().anyMatch(sent -> sent == write);
+  }
+
   /** False if the queue is full or closed; the write was not taken then. */
   public boolean add(long nowMicros, Write write) {
     if (closed || urgent.size() + relaxed.size() >= MAX_WAITING) {
--- a/src/test/java/org/dewreach/ArchitectureTest.java
+++ b/src/test/java/org/dewreach/ArchitectureTest.java
@@ -105,6 +105,7 @@
         "controller",
         "leadership",
         "store",
+        "history",
         "cloud",
         "job",
         "task",
--- a/src/test/java/org/dewreach/controller/AcceptedMeanwhileTest.java
+++ b/src/test/java/org/dewreach/controller/AcceptedMeanwhileTest.java
@@ -11,6 +11,7 @@
 import org.dewreach.cloud.CloudService;
 import org.dewreach.config.Settings;
 import org.dewreach.config.Tuning;
+import org.dewreach.history.FinalStates;
 import org.dewreach.job.Job;
 import org.dewreach.job.JobPhase;
 import org.dewreach.job.JobRecord;
@@ -49,6 +50,7 @@
           recordWriter,
           jobImporter,
           state,
+          new FinalStates(),
           new MachineCatalog(state, new CloudService(calls, 100)),
           SETTINGS,
           0);
--- a/src/test/java/org/dewreach/controller/LeadershipTermTest.java
+++ b/src/test/java/org/dewreach/controller/LeadershipTermTest.java
@@ -7,6 +7,7 @@
 import org.dewreach.cloud.CloudService;
 import org.dewreach.config.Settings;
 import org.dewreach.config.Tuning;
+import org.dewreach.history.FinalStates;
 import org.dewreach.port.Calls;
 import org.dewreach.port.Effect;
 import org.dewreach.port.Event;
@@ -35,6 +36,7 @@
           calls,
           state,
           cloud,
+          new FinalStates(),
           catalog,
           SETTINGS,
           Tuning.DEFAULT,
--- a/src/test/java/org/dewreach/sim/Checker.java
+++ b/src/test/java/org/dewreach/sim/Checker.java
@@ -350,6 +350,8 @@
       // Nobody is told the state of a job that was not accepted.
       accepted(id, job(id));
       told(id, job(id), asked, jobState);
+    } else if (status == 404 && asked.accepted()) {
+      breaks("forgotten", id + " answered 404 to a cancellation");
     } else {
       // Of a job whose acceptance is not known of, 404 may be right.
       judged(id, status, asked.accepted() ? 200 : 404);
--- a/src/test/java/org/dewreach/sim/Network.java
+++ b/src/test/java/org/dewreach/sim/Network.java
@@ -44,6 +44,11 @@
 
   /** Delivers, perhaps late, perhaps never. */
   void send(String from, String to, Runnable delivery) {
+    send(from, to, random, delivery);
+  }
+
+  /** As above; what happens to this message is drawn from the given source. */
+  void send(String from, String to, Random random, Runnable delivery) {
     String link = from + ">" + to;
     long delay = 300 + random.nextInt(4_000);
     if (random.nextInt(200) == 0) {
