Reasons of retries, basis of authority and known final states for operators

Cause: the records of the incident could not tell why a user was told to come back, on what the leader's authority rested, nor how long writes had been waiting; the causes had to be inferred from how fast each 503 came.

Change: each 503 has a reason (RetryReason), counted for the periodic line and the statistics endpoint; the log says when authority rests on the lease, on grants or on nothing, up to which revision final states are known, and how long the transaction under way has been waiting. No answer changes.

--- a/src/main/java/org/dewreach/controller/Answer.java
+++ b/src/main/java/org/dewreach/controller/Answer.java
@@ -8,7 +8,7 @@
   void send(int status, JsonNode body, int retryAfterS);
 
   /** Tells the user to come back. */
-  default void later() {
+  default void later(RetryReason reason) {
     send(503, null, 1);
   }
 }
--- a/src/main/java/org/dewreach/controller/AwaitedEnds.java
+++ b/src/main/java/org/dewreach/controller/AwaitedEnds.java
@@ -50,7 +50,7 @@
 
   private void answerWithoutEnd(Question question) {
     if (recordWriter.endInDoubt(question.job())) {
-      question.answer().later();
+      question.answer().later(RetryReason.END_IN_DOUBT);
     } else {
       question.tellLastState().run();
     }
@@ -85,7 +85,9 @@
 
   /** The term is over: users are told to come back. */
   void close() {
-    waiting.values().forEach(all -> all.forEach(question -> question.answer().later()));
+    waiting
+        .values()
+        .forEach(all -> all.forEach(item -> item.answer().later(RetryReason.NO_AUTHORITY)));
     waiting.clear();
   }
 }
--- a/src/main/java/org/dewreach/controller/Core.java
+++ b/src/main/java/org/dewreach/controller/Core.java
@@ -54,6 +54,7 @@
   private LeadershipTerm term;
   private long now;
   private final LoadLimiter load = new LoadLimiter();
+  private final RetryCounts retries = new RetryCounts();
   private final WaitingReports waitingReports;
   private long nextSummary;
   private boolean ready;
@@ -127,6 +128,11 @@
     if (now >= nextSummary) {
       nextSummary = now + SUMMARY_INTERVAL_MICROS;
       LOG.info("load: {}", load.summary());
+      LOG.info(
+          "retries: {}; {} final states known at revision {}",
+          retries.summary(),
+          finalStates.size(),
+          finalStateWatcher.revision());
     }
   }
 
@@ -275,6 +281,7 @@
       return;
     }
     if (load.full()) {
+      retries.add(RetryReason.LOAD_LIMIT);
       calls.respondRetry(request.requestId(), 503, null, LoadLimiter.BUSY_RETRY_S);
       return;
     }
@@ -314,14 +321,16 @@
   }
 
   private Answer answer(long requestId, LoadLimiter.Entry entry) {
-    return (status, body, retryAfterS) -> {
-      load.leave(entry, status, now);
-      if (retryAfterS > 0) {
-        calls.respondRetry(requestId, status, body, retryAfterS);
-      } else {
-        calls.respond(requestId, status, body);
-      }
-    };
+    Answer answer =
+        (status, body, retryAfterS) -> {
+          load.leave(entry, status, now);
+          if (retryAfterS > 0) {
+            calls.respondRetry(requestId, status, body, retryAfterS);
+          } else {
+            calls.respond(requestId, status, body);
+          }
+        };
+    return new CountedAnswer(answer, retries);
   }
 
   /**
@@ -331,12 +340,20 @@
    */
   private Answer underAuthority(Answer answer) {
     LeadershipTerm asked = term;
-    return (status, body, retryAfterS) -> {
-      boolean tells = status < 500;
-      if (!tells || term == asked && election.hasAuthority(now)) {
-        answer.send(status, body, retryAfterS);
-      } else {
-        answer.later();
+    return new Answer() {
+      @Override
+      public void send(int status, JsonNode body, int retryAfterS) {
+        boolean tells = status < 500;
+        if (!tells || term == asked && election.hasAuthority(now)) {
+          answer.send(status, body, retryAfterS);
+        } else {
+          answer.later(RetryReason.NO_AUTHORITY);
+        }
+      }
+
+      @Override
+      public void later(RetryReason reason) {
+        answer.later(reason);
       }
     };
   }
@@ -346,6 +363,9 @@
     node.put("election", election.phase().name()).put("term", termNumber());
     node.put("open_calls", calls.openCalls());
     load.fill(node.putObject("users"));
+    retries.fill(node.putObject("retries"));
+    node.put("final_states", finalStates.size());
+    node.put("final_states_revision", finalStateWatcher.revision());
     if (term != null) {
       term.fill(node.putObject("fleet"));
     }
@@ -408,6 +428,7 @@
       return;
     }
     if (load.full()) {
+      retries.add(RetryReason.LOAD_LIMIT);
       calls.respond(requestId, 200, Forwarded.busy());
       return;
     }
@@ -417,6 +438,6 @@
           load.leave(entry, status, now);
           calls.respond(requestId, 200, Forwarded.answer(status, answerBody, retryAfterS));
         };
-    term.user(parsed, underAuthority(answer), now);
+    term.user(parsed, underAuthority(new CountedAnswer(answer, retries)), now);
   }
 }
--- /dev/null
+++ b/src/main/java/org/dewreach/controller/CountedAnswer.java
@@ -0,0 +1,21 @@
+package org.dewreach.controller;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+/**
+ * An answer that counts why its user was told to come back.
+ *
+ * @param target where the answer goes
+ */
+record CountedAnswer(Answer target, RetryCounts counts) implements Answer {
+  @Override
+  public void send(int status, JsonNode body, int retryAfterS) {
+    target.send(status, body, retryAfterS);
+  }
+
+  @Override
+  public void later(RetryReason reason) {
+    counts.add(reason);
+    target.later(reason);
+  }
+}
--- a/src/main/java/org/dewreach/controller/JobLookup.java
+++ b/src/main/java/org/dewreach/controller/JobLookup.java
@@ -1,5 +1,6 @@
 package org.dewreach.controller;
 
+import java.util.function.Consumer;
 import org.dewreach.config.Settings;
 import org.dewreach.history.FinalState;
 import org.dewreach.history.FinalStates;
@@ -55,9 +56,9 @@
    * null if there is none. A job moves from the new records into our cluster state, and from there
    * to the final ones, so looking in this order misses none.
    */
-  void find(String id, Callback then, Runnable unknown, long nowMicros) {
+  void find(String id, Callback then, Consumer<RetryReason> unknown, long nowMicros) {
     if (!budget.tryTake(nowMicros)) {
-      unknown.run();
+      unknown.accept(RetryReason.STATE_RATE);
       return;
     }
     state.get(
@@ -67,15 +68,17 @@
             boolean withdrawn = body.path("data").path("off").asBoolean(false);
             jobImporter.adopt(Keys.newJob(id), body.path("data"), body.path("stamp").asLong(), now);
             then.onResult(new Result(withdrawn ? JobState.WITHDRAWN : JobState.PENDING, 0));
-          } else if (status != 404 || clusterState.jobs().containsKey(id)) {
-            unknown.run();
+          } else if (status != 404) {
+            unknown.accept(RetryReason.READ_FAILED);
+          } else if (clusterState.jobs().containsKey(id)) {
+            unknown.accept(RetryReason.BEING_ACCEPTED);
           } else {
             findOver(id, then, unknown);
           }
         });
   }
 
-  private void findOver(String id, Callback then, Runnable unknown) {
+  private void findOver(String id, Callback then, Consumer<RetryReason> unknown) {
     state.get(
         Keys.over(id),
         (now, status, body) -> {
@@ -84,7 +87,7 @@
             return;
           }
           if (status != 200) {
-            unknown.run();
+            unknown.accept(RetryReason.READ_FAILED);
             return;
           }
           try {
@@ -93,7 +96,7 @@
             then.onResult(new Result(found.jobState(), found.done()));
           } catch (MalformedException e) {
             LOG.error("final record of {} not understood", id);
-            unknown.run();
+            unknown.accept(RetryReason.RECORD_MALFORMED);
           }
         });
   }
--- a/src/main/java/org/dewreach/controller/JobRequestHandler.java
+++ b/src/main/java/org/dewreach/controller/JobRequestHandler.java
@@ -79,8 +79,12 @@
       unlessKnown(id, answer, 400, e.getMessage(), nowMicros);
       return;
     }
-    if (!catalog.known() || recordWriter.stalled(nowMicros)) {
-      answer.later();
+    if (!catalog.known()) {
+      answer.later(RetryReason.NO_CATALOG);
+      return;
+    }
+    if (recordWriter.stalled(nowMicros)) {
+      answer.later(RetryReason.WRITES_STALLED);
       return;
     }
     String refusal = Admission.refusal(spec, settings.teams(), catalog.types());
@@ -93,7 +97,7 @@
     await(awaitingAcceptance, id, answer);
     if (!recordWriter.accept(job, nowMicros, () -> knownAlready(job, nowMicros))) {
       clusterState.jobs().remove(id);
-      awaitingAcceptance.remove(id).forEach(Answer::later);
+      sendBack(awaitingAcceptance, id, RetryReason.WRITE_QUEUE_FULL);
     }
   }
 
@@ -131,13 +135,13 @@
           found -> {
             for (Answer answer : answers) {
               if (found == null) {
-                answer.later();
+                answer.later(RetryReason.BEING_ACCEPTED);
               } else {
                 answer.send(200, found.jobState().answer(job.id()), 0);
               }
             }
           },
-          () -> answers.forEach(Answer::later),
+          reason -> answers.forEach(answer -> answer.later(reason)),
           nowMicros);
     }
   }
@@ -149,7 +153,7 @@
         found -> {
           if (found == null && clusterState.jobs().containsKey(id)) {
             // Accepted while we looked.
-            answer.later();
+            answer.later(RetryReason.BEING_ACCEPTED);
           } else if (found == null) {
             LOG.info("submission of {} answered {}: {}", id, status, why);
             answer.send(status, Codec.map().put("error", why), 0);
@@ -175,7 +179,7 @@
     Job job = clusterState.jobs().get(id);
     if (job != null) {
       if (job.phase() == JobPhase.ACCEPTING) {
-        answer.later();
+        answer.later(RetryReason.BEING_ACCEPTED);
       } else if (isEnding(job)) {
         awaitedEnds.await(
             job,
@@ -195,7 +199,7 @@
             answer.send(200, found.jobState().answer(id, found.done(), 0), 0);
           } else if (clusterState.jobs().containsKey(id)) {
             // Accepted while we looked.
-            answer.later();
+            answer.later(RetryReason.BEING_ACCEPTED);
           } else {
             answer.send(404, null, 0);
           }
@@ -215,7 +219,7 @@
       return;
     }
     switch (job.phase()) {
-      case ACCEPTING -> answer.later();
+      case ACCEPTING -> answer.later(RetryReason.BEING_ACCEPTED);
       case WITHDRAWN -> answer.send(200, JobState.WITHDRAWN.answer(id), 0);
       case FINISHING, OVER -> {
         if (job.finalState() == JobState.WITHDRAWN) {
@@ -226,7 +230,7 @@
       }
       case HALTING -> {
         if (haltsLong(job, nowMicros)) {
-          answer.later();
+          answer.later(RetryReason.TASKS_NOT_GONE);
         } else {
           await(awaitingWithdrawal, id, answer);
         }
@@ -249,7 +253,7 @@
             answer.send(200, found.jobState().answer(id), 0);
           } else if (found != null || clusterState.jobs().containsKey(id)) {
             // Accepted while we looked, or without us and just taken over.
-            answer.later();
+            answer.later(RetryReason.BEING_ACCEPTED);
           } else {
             answer.send(404, null, 0);
           }
@@ -275,8 +279,8 @@
    */
   void tick(long nowMicros) {
     if (recordWriter.stalled(nowMicros)) {
-      sendBackAll(awaitingAcceptance);
-      sendBackAll(awaitingWithdrawal);
+      sendBackAll(awaitingAcceptance, RetryReason.WRITES_STALLED);
+      sendBackAll(awaitingWithdrawal, RetryReason.WRITES_STALLED);
     }
     awaitedEnds.tick(nowMicros);
   }
@@ -287,9 +291,8 @@
 
   /** Its tasks cannot be stopped just now: its user is to ask again. */
   void onHalting(Job job, long nowMicros) {
-    List<Answer> answers = haltsLong(job, nowMicros) ? awaitingWithdrawal.remove(job.id()) : null;
-    if (answers != null) {
-      answers.forEach(Answer::later);
+    if (haltsLong(job, nowMicros)) {
+      sendBack(awaitingWithdrawal, job.id(), RetryReason.TASKS_NOT_GONE);
     }
   }
 
@@ -303,10 +306,7 @@
    * already, and then nothing more comes of that.
    */
   void onNotTakenOver(String id) {
-    List<Answer> answers = awaitingAcceptance.remove(id);
-    if (answers != null) {
-      answers.forEach(Answer::later);
-    }
+    sendBack(awaitingAcceptance, id, RetryReason.BEING_ACCEPTED);
   }
 
   void onWithdrawn(Job job) {
@@ -330,13 +330,19 @@
 
   /** The term is over: users are told to come back. */
   void close() {
-    sendBackAll(awaitingAcceptance);
-    sendBackAll(awaitingWithdrawal);
+    sendBackAll(awaitingAcceptance, RetryReason.NO_AUTHORITY);
+    sendBackAll(awaitingWithdrawal, RetryReason.NO_AUTHORITY);
     awaitedEnds.close();
   }
 
-  private static void sendBackAll(Map<String, List<Answer>> waiting) {
-    waiting.values().forEach(answers -> answers.forEach(Answer::later));
-    waiting.clear();
+  private static void sendBackAll(Map<String, List<Answer>> waiting, RetryReason reason) {
+    List.copyOf(waiting.keySet()).forEach(id -> sendBack(waiting, id, reason));
+  }
+
+  private static void sendBack(Map<String, List<Answer>> waiting, String id, RetryReason reason) {
+    List<Answer> answers = waiting.remove(id);
+    if (answers != null) {
+      answers.forEach(answer -> answer.later(reason));
+    }
   }
 }
--- a/src/main/java/org/dewreach/controller/LeaderlessRequestHandler.java
+++ b/src/main/java/org/dewreach/controller/LeaderlessRequestHandler.java
@@ -76,7 +76,7 @@
     boolean writing = request instanceof UserRequest.Submit;
     boolean admitted = writing ? writes.tryTake(now) : reads.available(now) >= 1;
     if (!admitted) {
-      answer.later();
+      answer.later(RetryReason.STATE_RATE);
       return;
     }
     if (request instanceof UserRequest.Query query) {
@@ -149,7 +149,7 @@
           }
           reads.giveBack(unused);
           if (status != 200) {
-            answer.later();
+            answer.later(RetryReason.READ_FAILED);
           } else {
             decode(key, id, body, answer, then);
           }
@@ -165,7 +165,7 @@
       then.on(new Found(key, id, job, body.path("stamp").asLong(), jobState, done));
     } catch (MalformedException e) {
       LOG.error("record of {} not understood: {}", id, e.getMessage());
-      answer.later();
+      answer.later(RetryReason.RECORD_MALFORMED);
     }
   }
 
@@ -176,7 +176,7 @@
           if (status == 404) {
             absent.run();
           } else if (status != 200) {
-            answer.later();
+            answer.later(RetryReason.READ_FAILED);
           } else {
             try {
               FinalState state = FinalState.decode(body.path("data"));
@@ -184,7 +184,7 @@
               then.on(new Found(Keys.over(id), id, null, 0, state.jobState(), state.done()));
             } catch (MalformedException e) {
               LOG.error("final record of {} not understood", id);
-              answer.later();
+              answer.later(RetryReason.RECORD_MALFORMED);
             }
           }
         });
@@ -199,7 +199,7 @@
       return;
     }
     if (!catalog.known()) {
-      unlessKnown(submit.jobId(), answer, answer::later);
+      unlessKnown(submit.jobId(), answer, () -> answer.later(RetryReason.NO_CATALOG));
     } else if (Admission.refusal(spec, settings.teams(), catalog.types()) != null) {
       unlessKnown(submit.jobId(), answer, () -> answer.send(422, null, 0));
     } else {
@@ -229,10 +229,10 @@
           if (status == 200) {
             answer.send(201, JobState.PENDING.answer(id), 0);
           } else if (status == 409) {
-            unlessKnown(id, answer, answer::later);
+            unlessKnown(id, answer, () -> answer.later(RetryReason.BEING_ACCEPTED));
           } else {
             // Unclear or refused: the user's next try finds out.
-            answer.later();
+            answer.later(RetryReason.WRITE_NOT_CONFIRMED);
           }
         });
   }
@@ -244,7 +244,7 @@
     }
     if (!found.key().equals(Keys.newJob(found.id()))) {
       // Its tasks may run: only a leader knows when they are sure to be gone in time.
-      answer.later();
+      answer.later(RetryReason.NEEDS_LEADER);
       return;
     }
     JobRecord live = found.live();
@@ -259,7 +259,7 @@
           if (status == 200) {
             answer.send(200, JobState.WITHDRAWN.answer(found.id()), 0);
           } else {
-            answer.later();
+            answer.later(RetryReason.WRITE_NOT_CONFIRMED);
           }
         });
   }
--- a/src/main/java/org/dewreach/controller/LeadershipTerm.java
+++ b/src/main/java/org/dewreach/controller/LeadershipTerm.java
@@ -328,7 +328,7 @@
 
   void user(UserRequest request, Answer answer, long nowMicros) {
     if (!loaded() || !authority.test(nowMicros)) {
-      answer.later();
+      answer.later(RetryReason.NO_AUTHORITY);
     } else {
       users.handle(request, answer, nowMicros);
     }
--- /dev/null
+++ b/src/main/java/org/dewreach/controller/RetryReason.java
@@ -0,0 +1,31 @@
+package org.dewreach.controller;
+
+/** Why a user was told to come back, counted for operators. */
+enum RetryReason {
+  /** More requests are in progress than the load limit allows. */
+  LOAD_LIMIT,
+  /** The term's authority ended, or it has not read the cluster state yet. */
+  NO_AUTHORITY,
+  /** The job is being accepted or taken over. */
+  BEING_ACCEPTED,
+  /** A write that ends the job may be applied without our knowing. */
+  END_IN_DOUBT,
+  /** What the answer waits for is not written, since writes do not get through. */
+  WRITES_STALLED,
+  /** The queue of writes is full. */
+  WRITE_QUEUE_FULL,
+  /** The tasks of a cancelled job may still run or begin. */
+  TASKS_NOT_GONE,
+  /** The rate for reading the state service, or for writing without a leader, is used up. */
+  STATE_RATE,
+  /** The state service did not answer a read. */
+  READ_FAILED,
+  /** The state service did not confirm a write. */
+  WRITE_NOT_CONFIRMED,
+  /** The machine types are not known yet. */
+  NO_CATALOG,
+  /** Only a leader can do this, and none was reached. */
+  NEEDS_LEADER,
+  /** A record of the job could not be read. */
+  RECORD_MALFORMED
+}
--- a/src/main/java/org/dewreach/controller/TermSummary.java
+++ b/src/main/java/org/dewreach/controller/TermSummary.java
@@ -14,6 +14,8 @@
 
   private static final long INTERVAL_MICROS = 10_000_000;
 
+  private static final long MICROS_PER_MS = 1_000;
+
   private final long term;
   private final ClusterState clusterState;
   private final CommitQueue queue;
@@ -45,7 +47,7 @@
     }
     LOG.info(
         "term {}: {} jobs, {} machines ({} up, {} of {} CPUs free), {} tasks bound, {} waiting,"
-            + " {} writes queued",
+            + " {} writes queued, the oldest sent {} ms ago",
         term,
         clusterState.jobs().size(),
         clusterState.machines().size(),
@@ -54,7 +56,8 @@
         cpus,
         tasks,
         waitingTasks(waiting),
-        queue.waiting());
+        queue.waiting(),
+        queue.transactionAgeMicros(nowMicros) / MICROS_PER_MS);
   }
 
   /** Numbers for operators. */
--- a/src/main/java/org/dewreach/leadership/LeaderAuthority.java
+++ b/src/main/java/org/dewreach/leadership/LeaderAuthority.java
@@ -57,6 +57,16 @@
     BEGUN
   }
 
+  /** What authority rests on. */
+  private enum Basis {
+    /** Nothing: there is none. */
+    NONE,
+    /** The leader lease. */
+    LEASE,
+    /** Grants of all controllers, while the lease cannot be renewed. */
+    GRANTS
+  }
+
   private final StateService state;
   private final Calls calls;
   private final List<String> others;
@@ -66,6 +76,7 @@
 
   private final Map<String, Long> grantedUntil = new HashMap<>();
   private Phase phase = Phase.OVER;
+  private Basis basis = Basis.NONE;
   private long term;
   private long leaseId;
   private long authorityUntil;
@@ -116,6 +127,7 @@
   void end() {
     authorityUntil = 0;
     become(Phase.OVER);
+    basis = Basis.NONE;
   }
 
   /** The term that this node leads or last led, or 0. */
@@ -128,6 +140,20 @@
     return phase == Phase.BEGUN;
   }
 
+  /** Logs what authority rests on, whenever that changes. */
+  private void noteBasis(long nowMicros) {
+    Basis now = Basis.NONE;
+    if (begun() && nowMicros < authorityUntil) {
+      now = Basis.LEASE;
+    } else if (holds(nowMicros)) {
+      now = Basis.GRANTS;
+    }
+    if (now != basis) {
+      LOG.info("term {}: authority {} -> {}", term, basis, now);
+      basis = now;
+    }
+  }
+
   /** True while no other term can act: by the lease, or by every node's grant. */
   boolean holds(long nowMicros) {
     return begun() && nowMicros < actsUntil();
@@ -150,6 +176,7 @@
     if (phase == Phase.PENDING && ownGrants.letAct(term, nowMicros)) {
       become(Phase.BEGUN);
     }
+    noteBasis(nowMicros);
     requestGrants(ownGrants, nowMicros);
     if (!renewing && nowMicros >= renewAt) {
       renew(nowMicros);
--- a/src/main/java/org/dewreach/store/CommitQueue.java
+++ b/src/main/java/org/dewreach/store/CommitQueue.java
@@ -99,7 +99,12 @@
 
   /** True while writes do not get through: what waits for one had better come back. */
   public boolean stalled(long nowMicros) {
-    return !batch.isEmpty() && nowMicros - batchSince > STALLED_MICROS;
+    return transactionAgeMicros(nowMicros) > STALLED_MICROS;
+  }
+
+  /** Since when the transaction under way has had no outcome; 0 if there is none. */
+  public long transactionAgeMicros(long nowMicros) {
+    return batch.isEmpty() ? 0 : nowMicros - batchSince;
   }
 
   /**
