--- a/src/main/java/org/dewreach/controller/LeaderlessRequestHandler.java
+++ b/src/main/java/org/dewreach/controller/LeaderlessRequestHandler.java
@@ -14,6 +14,7 @@
 import org.dewreach.store.Keys;
 import org.dewreach.store.RateBudget;
 import org.dewreach.store.StateService;
+import org.dewreach.wire.HttpStatus;
 import org.dewreach.wire.JobRequest;
 import org.dewreach.wire.JobState;
 import org.dewreach.wire.MalformedException;
@@ -37,9 +38,6 @@
    */
   private static final double STATE_RATE_SHARE = 0.25;
 
-  /** Reads that looking for a job takes, if it is found last or not at all. */
-  private static final int MAX_READS = 4;
-
   private final StateService state;
   private final FinalStates finalStates;
   private final MachineCatalog catalog;
@@ -108,6 +106,15 @@
     void on(Found found);
   }
 
+  /**
+   * Where a job may be. It moves from the new records to the live ones and from there to the final
+   * ones, each in one transaction. Most are live, so those are looked at first, and again after the
+   * new ones: a job that was somewhere at the start is then met, however it moves meanwhile.
+   */
+  private static List<String> keysToRead(String id) {
+    return List.of(Keys.job(id), Keys.newJob(id), Keys.job(id), Keys.over(id));
+  }
+
   /**
    * Looks for a job. All reads are paid for at the start, and what is not needed is given back.
    *
@@ -115,79 +122,62 @@
    * as one read and took up to four, so all at once were more than the state service allows.
    */
   private void read(String id, Answer answer, Then then, Runnable absent) {
-    reads.take(now, MAX_READS);
-    // A job moves from the new records to the live ones and from there to the final ones, each in
-    // one transaction. Most are live, so those are looked at first, and again after the new ones:
-    // a job that was somewhere at the start is then met, however it moves meanwhile.
-    readLive(
-        id,
-        3,
-        answer,
-        then,
-        () ->
-            tryRead(
-                Keys.newJob(id),
-                id,
-                2,
-                answer,
-                then,
-                () -> readLive(id, 1, answer, then, () -> readOver(id, answer, then, absent))));
+    List<String> keys = keysToRead(id);
+    reads.take(now, keys.size());
+    readFirst(keys, id, answer, then, absent);
   }
 
-  private void readLive(String id, int unused, Answer answer, Then then, Runnable absent) {
-    tryRead(Keys.job(id), id, unused, answer, then, absent);
-  }
-
-  private void tryRead(
-      String key, String id, int unused, Answer answer, Then then, Runnable absent) {
+  /** Reads the first of the keys, and the rest of them if it does not exist. */
+  private void readFirst(List<String> keys, String id, Answer answer, Then then, Runnable absent) {
+    if (keys.isEmpty()) {
+      absent.run();
+      return;
+    }
+    String key = keys.get(0);
+    List<String> rest = keys.subList(1, keys.size());
     state.get(
         key,
         (now, status, body) -> {
-          if (status == 404) {
-            absent.run();
+          if (status == HttpStatus.NOT_FOUND) {
+            readFirst(rest, id, answer, then, absent);
             return;
           }
-          reads.giveBack(unused);
-          if (status != 200) {
-            answer.later(RetryReason.READ_FAILED);
-          } else {
+          reads.giveBack(rest.size());
+          if (status == HttpStatus.OK) {
             decode(key, id, body, answer, then);
+          } else {
+            answer.later(RetryReason.READ_FAILED);
           }
         });
   }
 
   private void decode(String key, String id, JsonNode body, Answer answer, Then then) {
     try {
-      JobRecord job = JobRecord.decode(body.path("data"));
-      int done = job.done().cardinality();
-      JobState jobState =
-          job.withdrawn() ? JobState.WITHDRAWN : done > 0 ? JobState.RUNNING : JobState.PENDING;
-      then.on(new Found(key, id, job, body.path("stamp").asLong(), jobState, done));
+      boolean isFinal = key.equals(Keys.over(id));
+      then.on(isFinal ? foundFinal(key, id, body) : foundLive(key, id, body));
     } catch (MalformedException e) {
-      LOG.error("record of {} not understood: {}", id, e.getMessage());
+      LOG.error("{} not understood: {}", key, e.getMessage());
       answer.later(RetryReason.RECORD_MALFORMED);
     }
   }
 
-  private void readOver(String id, Answer answer, Then then, Runnable absent) {
-    state.get(
-        Keys.over(id),
-        (now, status, body) -> {
-          if (status == 404) {
-            absent.run();
-          } else if (status != 200) {
-            answer.later(RetryReason.READ_FAILED);
-          } else {
-            try {
-              FinalState state = FinalState.decode(body.path("data"));
-              finalStates.read(id, state);
-              then.on(new Found(Keys.over(id), id, null, 0, state.jobState(), state.done()));
-            } catch (MalformedException e) {
-              LOG.error("final record of {} not understood", id);
-              answer.later(RetryReason.RECORD_MALFORMED);
-            }
-          }
-        });
+  private Found foundFinal(String key, String id, JsonNode body) throws MalformedException {
+    FinalState found = FinalState.decode(body.path("data"));
+    finalStates.read(id, found);
+    return new Found(key, id, null, 0, found.jobState(), found.done());
+  }
+
+  private static Found foundLive(String key, String id, JsonNode body) throws MalformedException {
+    JobRecord job = JobRecord.decode(body.path("data"));
+    int done = job.done().cardinality();
+    JobState jobState = done > 0 ? JobState.RUNNING : JobState.PENDING;
+    return new Found(
+        key,
+        id,
+        job,
+        body.path("stamp").asLong(),
+        job.withdrawn() ? JobState.WITHDRAWN : jobState,
+        done);
   }
 
   private void submit(UserRequest.Submit submit, Answer answer) {
--- a/src/test/java/org/dewreach/sim/Checker.java
+++ b/src/test/java/org/dewreach/sim/Checker.java
@@ -245,15 +245,15 @@
    * What was told of a job when a question was sent. An answer may not be older than that; what is
    * told while the question is on its way may pass the answer on the network.
    */
-  record RentalRequest(boolean accepted, String finalTold) {}
+  record ToldBefore(boolean accepted, String finalTold) {}
 
-  RentalRequest ask(String id) {
+  ToldBefore ask(String id) {
     job(id).askedSince = true;
     job(id).lastAskedAt = clock.now();
-    return new RentalRequest(job(id).accepted, job(id).finalTold);
+    return new ToldBefore(job(id).accepted, job(id).finalTold);
   }
 
-  void onSubmitAnswer(String id, RentalRequest asked, int status, String jobState) {
+  void onSubmitAnswer(String id, ToldBefore asked, int status, String jobState) {
     JobView job = job(id);
     if (job.refusal > 0) {
       if (status == 200 || status == 201) {
@@ -269,7 +269,7 @@
     }
   }
 
-  void onQueryAnswer(String id, RentalRequest asked, int status, String jobState) {
+  void onQueryAnswer(String id, ToldBefore asked, int status, String jobState) {
     JobView job = job(id);
     if (status == 200 || status == 404) {
       job.lastAnsweredAt = clock.now();
@@ -343,7 +343,7 @@
     return (job.firstStartAt < 0 ? clock.now() : job.firstStartAt) - job.acceptedAt;
   }
 
-  void onAbortAnswer(String id, RentalRequest asked, int status, String jobState) {
+  void onAbortAnswer(String id, ToldBefore asked, int status, String jobState) {
     if (status == 200 && job(id).spec == null) {
       breaks("invented", id + " cancelled");
     } else if (status == 200) {
@@ -358,7 +358,7 @@
     }
   }
 
-  private void told(String id, JobView job, RentalRequest asked, String jobState) {
+  private void told(String id, JobView job, ToldBefore asked, String jobState) {
     boolean isFinal = jobState.equals("done") || jobState.equals("withdrawn");
     String before = isFinal ? job.finalTold : asked.finalTold();
     if (before != null && !before.equals(jobState)) {
--- a/src/test/java/org/dewreach/sim/CheckerTest.java
+++ b/src/test/java/org/dewreach/sim/CheckerTest.java
@@ -238,7 +238,7 @@
   @ValueSource(strings = {"submission", "question", "cancellation"})
   void unknownAfterItWasAccepted(String told) {
     Checker checker = submitted();
-    Checker.RentalRequest before = checker.ask(JOB);
+    Checker.ToldBefore before = checker.ask(JOB);
     switch (told) {
       case "submission" -> checker.onSubmitAnswer(JOB, before, 201, "pending");
       case "question" -> checker.onQueryAnswer(JOB, before, 200, "running");
@@ -264,11 +264,11 @@
   @ValueSource(strings = {"submission", "question", "cancellation"})
   void olderAfterItWasCancelled(String asked) {
     Checker checker = submitted();
-    Checker.RentalRequest before = checker.ask(JOB);
+    Checker.ToldBefore before = checker.ask(JOB);
     checker.onAbortAnswer(JOB, before, 200, "withdrawn");
     checker.onQueryAnswer(JOB, before, 200, "running");
     assertEquals(List.of(), checker.broken, "a question on its way may be answered by what was");
-    Checker.RentalRequest after = checker.ask(JOB);
+    Checker.ToldBefore after = checker.ask(JOB);
     switch (asked) {
       case "submission" -> checker.onSubmitAnswer(JOB, after, 200, "pending");
       case "question" -> checker.onQueryAnswer(JOB, after, 200, "running");
--- a/src/test/java/org/dewreach/sim/SimUsers.java
+++ b/src/test/java/org/dewreach/sim/SimUsers.java
@@ -424,7 +424,7 @@
 
   private void submit(String id, ObjectNode described, int tries) {
     boolean[] answered = {false};
-    Checker.RentalRequest asked = world.checker.ask(id);
+    Checker.ToldBefore asked = world.checker.ask(id);
     ObjectNode sent = described.deepCopy();
     tamper.accept(sent);
     world.toNode(
@@ -461,7 +461,7 @@
           // one
           // at a time: an answer counts only if it came before the next question.
           boolean[] answered = {false};
-          Checker.RentalRequest asked = world.checker.ask(id);
+          Checker.ToldBefore asked = world.checker.ask(id);
           world.toNode(
               "user",
               anyNode(),
@@ -490,7 +490,7 @@
   void abort(String id, int tries) {
     world.checker.onAbortAsked(id);
     boolean[] answered = {false};
-    Checker.RentalRequest asked = world.checker.ask(id);
+    Checker.ToldBefore asked = world.checker.ask(id);
     world.toNode(
         "user",
         anyNode(),
@@ -534,7 +534,7 @@
 
   /** One question, to a given node. */
   void ask(String id, String node) {
-    Checker.RentalRequest asked = world.checker.ask(id);
+    Checker.ToldBefore asked = world.checker.ask(id);
     world.toNode(
         "user",
         node,
@@ -554,7 +554,7 @@
 
   /** One submission, to a given node. */
   void submitOnce(String id, ObjectNode described, String node) {
-    Checker.RentalRequest asked = world.checker.ask(id);
+    Checker.ToldBefore asked = world.checker.ask(id);
     world.toNode(
         "user",
         node,
@@ -569,7 +569,7 @@
     if (specs.containsKey(id)) {
       world.checker.onAbortAsked(id);
     }
-    Checker.RentalRequest asked = world.checker.ask(id);
+    Checker.ToldBefore asked = world.checker.ask(id);
     world.toNode(
         "user",
         node,
@@ -582,7 +582,7 @@
   /** Asks for a job that nobody submitted. */
   void askForNothing() {
     String id = "req-none" + random.nextInt(100);
-    Checker.RentalRequest asked = world.checker.ask(id);
+    Checker.ToldBefore asked = world.checker.ask(id);
     world.toNode(
         "user",
         anyNode(),
--- a/src/test/java/org/dewreach/store/CommitQueueTest.java
+++ b/src/test/java/org/dewreach/store/CommitQueueTest.java
@@ -1,6 +1,7 @@
 package org.dewreach.store;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -127,4 +128,49 @@
     }
     assertEquals(List.of("first WRITTEN", "a WRITTEN", "bad CONFLICT", "b WRITTEN"), outcomes);
   }
+
+  private final Write ending =
+      new Write(
+          List.of(new Condition("ending", 0)),
+          List.of(new Change("ending", CommitQueue.value())),
+          true,
+          (now, outcome, revision) -> outcomes.add("ending " + outcome));
+
+  @Test
+  void aWriteThatWaitsIsNotInDoubt() {
+    add("a");
+    Effect.Call first = sent();
+    queue.add(0, ending);
+    assertFalse(queue.inDoubt(ending), "it was not sent");
+    reply(first, 200, Codec.map().put("ledger_rev", 10));
+    Effect.Call second = sent();
+    assertTrue(queue.inDoubt(ending), "it is on its way");
+    reply(second, 200, Codec.map().put("ledger_rev", 11));
+    assertFalse(queue.inDoubt(ending), "it is written");
+  }
+
+  @Test
+  void aWriteThatWasNotExecutedIsNotInDoubt() {
+    queue.add(0, ending);
+    reply(sent(), 503, null);
+    assertFalse(queue.inDoubt(ending), "503: not executed");
+    queue.tick(2_000_000);
+    Effect.Call again = sent();
+    assertTrue(queue.inDoubt(ending), "it is on its way again");
+    reply(again, 429, null);
+    assertFalse(queue.inDoubt(ending), "429: not executed");
+  }
+
+  @Test
+  void aWriteWithoutAnAnswerStaysInDoubtUntilItsOutcomeIsKnown() {
+    queue.add(0, ending);
+    reply(sent(), 0, null);
+    assertTrue(queue.inDoubt(ending), "it may have been applied");
+    queue.tick(2_000_000);
+    reply(sent(), 503, null);
+    assertTrue(queue.inDoubt(ending), "the copy before it may have been applied");
+    queue.tick(4_000_000);
+    reply(sent(), 200, Codec.map().put("ledger_rev", 11));
+    assertFalse(queue.inDoubt(ending), "it is written");
+  }
 }
