--- a/src/test/java/org/dewreach/sim/AnswersInOutageTest.java
+++ b/src/test/java/org/dewreach/sim/AnswersInOutageTest.java
@@ -28,13 +28,13 @@
     ENDED_UNDER_AN_EARLIER_LEADER {
       @Override
       public void bring(Day day) {
-        day.in(1, () -> day.world.crash(day.leader(), S));
+        crashLeader(day);
         beginOutage(day, CHANGE_OF_LEADER, LONG_OUTAGE);
       }
 
       @Override
       public boolean tookPlace(Day day) {
-        return day.leaders() == 1 && day.doneBefore > 0;
+        return jobsEndedUnderEarlierLeader(day);
       }
     },
 
@@ -42,14 +42,14 @@
     TWO_OUTAGES_AFTER_A_CHANGE_OF_LEADER {
       @Override
       public void bring(Day day) {
-        day.in(1, () -> day.world.crash(day.leader(), S));
+        crashLeader(day);
         beginOutage(day, CHANGE_OF_LEADER, 57.5);
         beginOutage(day, CHANGE_OF_LEADER + 57.5 + 9, 60);
       }
 
       @Override
       public boolean tookPlace(Day day) {
-        return day.leaders() == 1 && day.doneBefore > 0;
+        return jobsEndedUnderEarlierLeader(day);
       }
     },
 
@@ -103,6 +103,14 @@
       }
     };
 
+    private static void crashLeader(Day day) {
+      day.in(1, () -> day.world.crash(day.leader(), S));
+    }
+
+    private static boolean jobsEndedUnderEarlierLeader(Day day) {
+      return day.leaders() == 1 && day.doneBefore > 0;
+    }
+
     private static void beginOutage(Day day, double at, double length) {
       day.in(at, () -> day.world.state.outage((long) (length * S)));
       day.quietFrom = day.until(at + length + 5);
