--- a/src/test/java/org/dewreach/sim/AnswersInOutageTest.java
+++ b/src/test/java/org/dewreach/sim/AnswersInOutageTest.java
@@ -16,8 +16,11 @@
   /** Longer than the 90 s for which the questions about one job may fail. */
   private static final double LONG_OUTAGE = 115;
 
+  /** Short jobs have ended, and their users were told, before the leader crashes. */
+  private static final double CRASH = 12;
+
   /** A leader's crash, its restart and the wait of the restarted node before it gives grants. */
-  private static final double CHANGE_OF_LEADER = 14;
+  private static final double CHANGE_OF_LEADER = CRASH + 13;
 
   /** How a combination is brought about, and what shows that it took place. */
   private enum Combination implements FaultCombination {
@@ -57,16 +60,17 @@
     ENDED_BEFORE_ALL_RESTARTED {
       @Override
       public void bring(Day day) {
+        crashLeader(day);
         for (int i = 0; i < World.NODES.size(); i++) {
           String node = World.NODES.get(i);
-          day.in(1 + 6 * i, () -> day.world.crash(node, S));
+          day.in(CHANGE_OF_LEADER + 6 * i, () -> day.world.crash(node, S));
         }
-        beginOutage(day, 18 + CHANGE_OF_LEADER, LONG_OUTAGE);
+        beginOutage(day, CHANGE_OF_LEADER + 18 + 13, LONG_OUTAGE);
       }
 
       @Override
       public boolean tookPlace(Day day) {
-        return day.leaders() > 0 && day.doneBefore > 0;
+        return day.leaders() > 1 && day.doneAtCrash > 0;
       }
     },
 
@@ -104,11 +108,19 @@
     };
 
     private static void crashLeader(Day day) {
-      day.in(1, () -> day.world.crash(day.leader(), S));
+      for (double at = 0; at < 3; at += 0.5) {
+        day.in(at, day.world.users::arriveShort);
+      }
+      day.in(
+          CRASH,
+          () -> {
+            day.doneAtCrash = day.world.checker.toldDone;
+            day.world.crash(day.leader(), S);
+          });
     }
 
     private static boolean jobsEndedUnderEarlierLeader(Day day) {
-      return day.leaders() == 1 && day.doneBefore > 0;
+      return day.leaders() == 1 && day.doneAtCrash > 0;
     }
 
     private static void beginOutage(Day day, double at, double length) {
--- a/src/test/java/org/dewreach/sim/Day.java
+++ b/src/test/java/org/dewreach/sim/Day.java
@@ -15,6 +15,9 @@
   final int startedBefore;
   long quietFrom;
 
+  /** Jobs that were told to be done when a combination let the leader crash. */
+  int doneAtCrash;
+
   /** Tasks that ran although their users had been told that their jobs are cancelled. */
   long mostRanCancelled;
 
