--- /dev/null
+++ b/src/test/java/org/dewreach/sim/AnswersInOutageTest.java
@@ -0,0 +1,123 @@
+package org.dewreach.sim;
+
+import java.util.stream.Stream;
+import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/**
+ * Outages of the state service that last longer than users may be left without an answer, while the
+ * leader goes on under grants: whatever became of a job, some controller has to know it.
+ */
+class AnswersInOutageTest {
+  private static final long S = 1_000_000;
+
+  /** Longer than the 90 s for which the questions about one job may fail. */
+  private static final double LONG_OUTAGE = 115;
+
+  /** A leader's crash, its restart and the wait of the restarted node before it gives grants. */
+  private static final double CHANGE_OF_LEADER = 14;
+
+  /** How a combination is brought about, and what shows that it took place. */
+  private enum Combination implements FaultCombination {
+    /**
+     * Users go on asking about jobs that ended under the leader before. Guards: {@code
+     * FinalStates}, which outlives terms, and {@code FinalStateWatcher}.
+     */
+    ENDED_UNDER_AN_EARLIER_LEADER {
+      @Override
+      public void bring(Day day) {
+        day.in(1, () -> day.world.crash(day.leader(), S));
+        beginOutage(day, CHANGE_OF_LEADER, LONG_OUTAGE);
+      }
+
+      @Override
+      public boolean tookPlace(Day day) {
+        return day.leaders() == 1 && day.doneBefore > 0;
+      }
+    },
+
+    /** As above, and the state service is back for some seconds in between. */
+    TWO_OUTAGES_AFTER_A_CHANGE_OF_LEADER {
+      @Override
+      public void bring(Day day) {
+        day.in(1, () -> day.world.crash(day.leader(), S));
+        beginOutage(day, CHANGE_OF_LEADER, 57.5);
+        beginOutage(day, CHANGE_OF_LEADER + 57.5 + 9, 60);
+      }
+
+      @Override
+      public boolean tookPlace(Day day) {
+        return day.leaders() == 1 && day.doneBefore > 0;
+      }
+    },
+
+    /** All controllers were started anew between the ends of the jobs and the outage. */
+    ENDED_BEFORE_ALL_RESTARTED {
+      @Override
+      public void bring(Day day) {
+        for (int i = 0; i < World.NODES.size(); i++) {
+          String node = World.NODES.get(i);
+          day.in(1 + 6 * i, () -> day.world.crash(node, S));
+        }
+        beginOutage(day, 18 + CHANGE_OF_LEADER, LONG_OUTAGE);
+      }
+
+      @Override
+      public boolean tookPlace(Day day) {
+        return day.leaders() > 0 && day.doneBefore > 0;
+      }
+    },
+
+    /**
+     * The last tasks of jobs end while nothing can be written. Guard: {@code
+     * JobRecordWriter.endInDoubt}.
+     */
+    ENDS_DURING_THE_OUTAGE {
+      @Override
+      public void bring(Day day) {
+        for (double at = 0; at < 8; at += 0.5) {
+          day.in(at, () -> day.world.users.arriveLong(1, (5 + day.random.nextInt(25)) * S));
+        }
+        beginOutage(day, 12, LONG_OUTAGE);
+      }
+
+      @Override
+      public boolean tookPlace(Day day) {
+        return day.leaders() == 0 && day.world.checker.toldDone > day.doneBefore;
+      }
+    },
+
+    /** Jobs are cancelled while nothing can be written. Guard: as above. */
+    CANCELLED_DURING_THE_OUTAGE {
+      @Override
+      public void bring(Day day) {
+        day.callOff(3, 20);
+        beginOutage(day, 2, LONG_OUTAGE);
+      }
+
+      @Override
+      public boolean tookPlace(Day day) {
+        return day.leaders() == 0 && day.withdrawn() > 3;
+      }
+    };
+
+    private static void beginOutage(Day day, double at, double length) {
+      day.in(at, () -> day.world.state.outage((long) (length * S)));
+      day.quietFrom = day.until(at + length + 5);
+    }
+  }
+
+  /** Three seeds of each combination; more with -Dsim.seeds, from -Dsim.from on. */
+  static Stream<Arguments> combinations() {
+    return CombinationRun.seedsOf(Stream.of(Combination.values()));
+  }
+
+  @ParameterizedTest(name = "{0}, seed {1}")
+  @MethodSource("combinations")
+  @DisplayName("Every accepted job stays known through an outage of the state service")
+  void everyJobStaysKnown(Combination combination, long seed) {
+    CombinationRun.assertRulesHold(combination, seed);
+  }
+}
--- a/src/test/java/org/dewreach/sim/CheckerTest.java
+++ b/src/test/java/org/dewreach/sim/CheckerTest.java
@@ -173,6 +173,30 @@
     assertFinds("forgotten", world);
   }
 
+  /** One job alone without an answer while the troubles last, for 90 s. */
+  @Test
+  void forgottenBesideOthers() {
+    World world = busy(1);
+    world.play(30 * S);
+    String id =
+        world.users.ids().stream().filter(world.checker::accepted).findFirst().orElseThrow();
+    world.unanswered = "/work/" + id;
+    world.play(115 * S);
+    assertEquals(List.of(), world.checker.broken, "for less than 90 s questions may fail");
+    world.play(140 * S);
+    assertFinds("forgotten", world);
+  }
+
+  /** While nobody is answered, no job is forgotten beside others. */
+  @Test
+  void nobodyIsAnswered() {
+    World world = busy(1);
+    world.play(30 * S);
+    World.NODES.forEach(node -> world.crash(node, 300 * S));
+    world.play(200 * S);
+    assertEquals(List.of(), world.checker.broken);
+  }
+
   private static final String JOB = "req-000001";
 
   /** Books in which a job was submitted, and nobody has been told anything of it. */
--- a/src/test/java/org/dewreach/sim/SimUsers.java
+++ b/src/test/java/org/dewreach/sim/SimUsers.java
@@ -477,7 +477,10 @@
           world.clock.in(
               2_000_000,
               () -> {
-                answered[0] = true;
+                if (!answered[0]) {
+                  answered[0] = true;
+                  world.checker.onQueryFailed(id);
+                }
                 poll(id);
               });
         });
