--- a/src/main/java/org/dewreach/controller/Core.java
+++ b/src/main/java/org/dewreach/controller/Core.java
@@ -53,8 +53,7 @@
   private final long wallOffsetMicros;
   private LeadershipTerm term;
   private long now;
-  private final LoadLimiter load = new LoadLimiter();
-  private final RetryCounts retries = new RetryCounts();
+  private final UserLoad userLoad = new UserLoad(() -> now);
   private final WaitingReports waitingReports;
   private long nextSummary;
   private boolean ready;
@@ -127,12 +126,9 @@
     renewDelegations();
     if (now >= nextSummary) {
       nextSummary = now + SUMMARY_INTERVAL_MICROS;
-      LOG.info("load: {}", load.summary());
+      userLoad.log();
       LOG.info(
-          "retries: {}; {} final states known at revision {}",
-          retries.summary(),
-          finalStates.size(),
-          finalStateWatcher.revision());
+          "{} final states known at revision {}", finalStates.size(), finalStateWatcher.revision());
     }
   }
 
@@ -275,18 +271,15 @@
     }
     FinalState finalState = finalStates.get(parsed.jobId());
     if (finalState != null) {
-      // Before the load limit: guards against answers that cost nothing being shed while requests
-      // that wait for writes fill it, as after an outage.
-      sendFinalState(parsed, finalState, answer(request.requestId(), load.enter(now)));
+      // Before the load limit, as it takes no time and waits for nothing.
+      sendFinalState(parsed, finalState, userLoad.enter(parsed, answer(request.requestId())));
       return;
     }
-    if (load.full()) {
-      retries.add(RetryReason.LOAD_LIMIT);
+    if (userLoad.sheds(parsed)) {
       calls.respondRetry(request.requestId(), 503, null, LoadLimiter.BUSY_RETRY_S);
       return;
     }
-    LoadLimiter.Entry entry = load.enter(now);
-    dispatch(request, parsed, answer(request.requestId(), entry));
+    dispatch(request, parsed, userLoad.enter(parsed, answer(request.requestId())));
   }
 
   /** The answer to any request about a job that has ended: what it ended as. */
@@ -320,17 +313,14 @@
     return request.path().equals("/work") && request.method().equals("POST");
   }
 
-  private Answer answer(long requestId, LoadLimiter.Entry entry) {
-    Answer answer =
-        (status, body, retryAfterS) -> {
-          load.leave(entry, status, now);
-          if (retryAfterS > 0) {
-            calls.respondRetry(requestId, status, body, retryAfterS);
-          } else {
-            calls.respond(requestId, status, body);
-          }
-        };
-    return new CountedAnswer(answer, retries);
+  private Answer answer(long requestId) {
+    return (status, body, retryAfterS) -> {
+      if (retryAfterS > 0) {
+        calls.respondRetry(requestId, status, body, retryAfterS);
+      } else {
+        calls.respond(requestId, status, body);
+      }
+    };
   }
 
   /**
@@ -362,8 +352,7 @@
     ObjectNode node = Codec.map().put("node", settings.name()).put("leader", election.leader());
     node.put("election", election.phase().name()).put("term", termNumber());
     node.put("open_calls", calls.openCalls());
-    load.fill(node.putObject("users"));
-    retries.fill(node.putObject("retries"));
+    userLoad.fill(node);
     node.put("final_states", finalStates.size());
     node.put("final_states_revision", finalStateWatcher.revision());
     if (term != null) {
@@ -412,32 +401,22 @@
     UserRequest parsed =
         UserRequestParser.parse(
             body.path("method").asText(), body.path("path").asText(), body.get("body"));
+    Answer answer =
+        (status, answerBody, retryAfterS) ->
+            calls.respond(requestId, 200, Forwarded.answer(status, answerBody, retryAfterS));
     FinalState finalState =
         parsed == null || parsed.jobId() == null ? null : finalStates.get(parsed.jobId());
     if (finalState != null) {
-      sendFinalState(
-          parsed,
-          finalState,
-          (status, found, retryAfterS) ->
-              calls.respond(requestId, 200, Forwarded.answer(status, found, retryAfterS)));
+      sendFinalState(parsed, finalState, answer);
       return;
     }
     boolean leads = term != null && term.loaded() && election.hasAuthority(now);
     if (parsed == null || parsed.jobId() == null || !leads) {
       calls.respond(requestId, 200, Forwarded.notLeading());
-      return;
-    }
-    if (load.full()) {
-      retries.add(RetryReason.LOAD_LIMIT);
+    } else if (userLoad.sheds(parsed)) {
       calls.respond(requestId, 200, Forwarded.busy());
-      return;
+    } else {
+      term.user(parsed, underAuthority(userLoad.enter(parsed, answer)), now);
     }
-    LoadLimiter.Entry entry = load.enter(now);
-    Answer answer =
-        (status, answerBody, retryAfterS) -> {
-          load.leave(entry, status, now);
-          calls.respond(requestId, 200, Forwarded.answer(status, answerBody, retryAfterS));
-        };
-    term.user(parsed, underAuthority(new CountedAnswer(answer, retries)), now);
   }
 }
--- /dev/null
+++ b/src/main/java/org/dewreach/controller/UserLoad.java
@@ -0,0 +1,68 @@
+package org.dewreach.controller;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.function.LongSupplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The users' requests in progress on this controller, their limits, and why users were told to come
+ * back.
+ *
+ * <p>Questions have a limit of their own. Guards against answers that need no write being shed for
+ * as long as requests that wait for writes fill the limit, as after an outage or while more jobs
+ * come than can be written.
+ */
+final class UserLoad {
+  private static final Logger LOG = LoggerFactory.getLogger(UserLoad.class);
+
+  /** Submissions and cancellations, which wait for writes. */
+  private final LoadLimiter changes = new LoadLimiter();
+
+  private final LoadLimiter questions = new LoadLimiter();
+  private final RetryCounts retries = new RetryCounts();
+  private final LongSupplier nowMicros;
+
+  UserLoad(LongSupplier nowMicros) {
+    this.nowMicros = nowMicros;
+  }
+
+  private LoadLimiter limiterOf(UserRequest request) {
+    return request instanceof UserRequest.Query ? questions : changes;
+  }
+
+  /** True if the request is one too many; it is counted as shed then. */
+  boolean sheds(UserRequest request) {
+    boolean full = limiterOf(request).full();
+    if (full) {
+      retries.add(RetryReason.LOAD_LIMIT);
+    }
+    return full;
+  }
+
+  /** Counts the request as in progress until it is answered; what is sent goes to the target. */
+  Answer enter(UserRequest request, Answer target) {
+    LoadLimiter limiter = limiterOf(request);
+    LoadLimiter.Entry entry = limiter.enter(nowMicros.getAsLong());
+    Answer leaving =
+        (status, body, retryAfterS) -> {
+          limiter.leave(entry, status, nowMicros.getAsLong());
+          target.send(status, body, retryAfterS);
+        };
+    return new CountedAnswer(leaving, retries);
+  }
+
+  /** Logs what operators want to know from time to time. */
+  void log() {
+    LOG.info("load of submissions and cancellations: {}", changes.summary());
+    LOG.info("load of questions: {}", questions.summary());
+    LOG.info("retries: {}", retries.summary());
+  }
+
+  /** Numbers for operators. */
+  void fill(ObjectNode node) {
+    changes.fill(node.putObject("users"));
+    questions.fill(node.putObject("questions"));
+    retries.fill(node.putObject("retries"));
+  }
+}
--- a/src/test/java/org/dewreach/sim/OperationalFaultsTest.java
+++ b/src/test/java/org/dewreach/sim/OperationalFaultsTest.java
@@ -321,4 +321,43 @@
     assertEquals(List.of(), world.checker.broken);
     assertEquals(0, world.state.tooMany);
   }
+
+  /** Guard: questions have a load limit of their own in {@code Core}. */
+  @ParameterizedTest(name = "seed {0}")
+  @ValueSource(longs = {1, 2, 3, 4})
+  @DisplayName("While submissions wait for their writes, questions about known jobs are answered")
+  void submissionsDoNotShedQuestions(long seed) {
+    World world = new World(seed);
+    world.live(60 * S, 2 * S);
+    world.play(80 * S);
+    String leader = world.leading();
+    List<String> known =
+        world.users.ids().stream()
+            .filter(id -> world.checker.accepted(id) && world.checker.finalTold(id) == null)
+            .toList();
+    assertTrue(!known.isEmpty(), "no job is open");
+    world.users.nodes = List.of(leader);
+    for (int i = 0; i < 800; i++) {
+      world.clock.at(80 * S + i * 1_000L, world.users::arriveShort);
+    }
+    int[] asked = {0};
+    int[] answered = {0};
+    for (long at = 80 * S + 600_000; at < 84 * S; at += 100_000) {
+      world.clock.at(
+          at,
+          () -> {
+            String path = "/work/" + known.get(asked[0]++ % known.size());
+            world.toNode(
+                "user",
+                leader,
+                "GET",
+                path,
+                null,
+                (status, body) -> answered[0] += status == 200 ? 1 : 0);
+          });
+    }
+    world.play(90 * S);
+    assertEquals(asked[0], answered[0], "questions answered");
+    assertEquals(List.of(), world.checker.broken);
+  }
 }
