Simulation: fleets that are taken, hang or stop as a whole, beside other faults

Jobs have to start again within a bound that follows from heartbeats, leases, boot times and one handover.

The simulated cloud can let its list lag, each page by another time, knows machines that stop by themselves, and can be without capacity for a while. All three are off unless a scenario asks for them, so the other scenarios play as before.

--- /dev/null
+++ b/src/test/java/org/dewreach/sim/FleetLossTest.java
@@ -0,0 +1,190 @@
+package org.dewreach.sim;
+
+import static org.dewreach.sim.Clock.SECOND;
+import static org.dewreach.sim.SimulationFixture.assertNoViolations;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * A whole fleet, or a large part of it, is lost or silent at once, beside other faults.
+ *
+ * <p>Jobs have to start again within a time that follows from the protocol alone: how soon silence
+ * shows, one handover, the workers' leases, a rental and a boot, one machine that never comes up.
+ */
+class FleetLossTest {
+  /** When the fleet is lost. */
+  private static final long LOSS = 60 * SECOND;
+
+  /** Two heartbeats and a margin until silence shows, and two rounds. */
+  private static final long NOTICED = 8 * SECOND;
+
+  /** A new leader is elected and has loaded the cluster state. */
+  private static final long HANDOVER = 4 * SECOND;
+
+  /** The lease of 15.25 s with drift and margin, and the first answers of the other controllers. */
+  private static final long LEASES_OVER = 18 * SECOND;
+
+  /** A rental, the longest usual boot of a type that boots in 5 s, and two heartbeats. */
+  private static final long NEW_MACHINES = 2 * SECOND + 8 * SECOND + 5 * SECOND;
+
+  /** Twice the boot time and 10 s until a machine that does not come up is replaced. */
+  private static final long REPLACEMENT = 20 * SECOND;
+
+  private static final long BOUND = NOTICED + HANDOVER + LEASES_OVER + NEW_MACHINES + REPLACEMENT;
+
+  /** So many tasks show that work goes on; about one job of several tasks arrives each 3 s. */
+  private static final int SOME_TASKS = 10;
+
+  private static Simulation busyUntilLoss(long seed) {
+    Simulation simulation = new Simulation(seed, 1, ClusterSize.LONG_CANCEL);
+    simulation.cloud.listLagMicros = 3 * SECOND;
+    simulation.startWorkload(400 * SECOND, 3 * SECOND);
+    simulation.runUntil(LOSS);
+    assertTrue(simulation.workers().size() >= 3, simulation.workers().size() + " machines");
+    return simulation;
+  }
+
+  private static void terminateAll(Simulation simulation) {
+    terminate(simulation, simulation.workers());
+  }
+
+  private static void terminate(Simulation simulation, List<SimWorker> machines) {
+    machines.forEach(worker -> simulation.cloud.terminate(worker.name));
+  }
+
+  private static void hangAll(Simulation simulation, long micros) {
+    simulation.workers().forEach(worker -> worker.hang(micros));
+  }
+
+  private static void crashLeader(Simulation simulation) {
+    simulation.controllers.crash(simulation.controllers.leader(), 8 * SECOND);
+  }
+
+  /** Some tasks start within the bound, and others in the 60 s after it. */
+  private static void assertWorkGoesOn(Simulation simulation, long from, long boundMicros) {
+    simulation.runUntil(from);
+    int before = simulation.checker.started;
+    simulation.runUntil(from + boundMicros);
+    int withinBound = simulation.checker.started - before;
+    simulation.runUntil(from + boundMicros + 60 * SECOND);
+    int after = simulation.checker.started - before - withinBound;
+    assertNoViolations(simulation);
+    assertTrue(withinBound >= SOME_TASKS, withinBound + " tasks started within the bound");
+    assertTrue(after >= SOME_TASKS, after + " tasks started in the 60 s after the bound");
+  }
+
+  /** What else happens at the loss, and for how long it holds everything up. */
+  private enum Circumstance {
+    NONE(0, simulation -> {}),
+    LEADER_CRASHES(0, FleetLossTest::crashLeader),
+    CLOUD_DOWN(30 * SECOND, simulation -> simulation.cloud.outage(30 * SECOND)),
+    STORE_DOWN(30 * SECOND, simulation -> simulation.state.outage(30 * SECOND)),
+    NO_CAPACITY(30 * SECOND, simulation -> simulation.cloud.noCapacityUntil = LOSS + 30 * SECOND),
+    PEERS_CUT(
+        0,
+        simulation ->
+            Simulation.NODES.forEach(
+                node ->
+                    Simulation.NODES.stream()
+                        .filter(other -> other.compareTo(node) > 0)
+                        .forEach(
+                            other ->
+                                simulation.network.partition(
+                                    node, other, LOSS + 100 * SECOND, false))));
+
+    final long lasts;
+    final Consumer<Simulation> begin;
+
+    Circumstance(long lasts, Consumer<Simulation> begin) {
+      this.lasts = lasts;
+      this.begin = begin;
+    }
+  }
+
+  @ParameterizedTest(name = "{0}, seed {1}")
+  @CsvSource({
+    "NONE, 1", "NONE, 2", "NONE, 5",
+    "LEADER_CRASHES, 1", "LEADER_CRASHES, 2", "LEADER_CRASHES, 5",
+    "CLOUD_DOWN, 1", "CLOUD_DOWN, 2", "CLOUD_DOWN, 5",
+    "STORE_DOWN, 1", "STORE_DOWN, 2", "STORE_DOWN, 5",
+    "NO_CAPACITY, 1", "NO_CAPACITY, 2", "NO_CAPACITY, 5",
+    "PEERS_CUT, 1", "PEERS_CUT, 2", "PEERS_CUT, 5"
+  })
+  @DisplayName("A fleet taken back as a whole is replaced in time")
+  void taken(Circumstance circumstance, long seed) {
+    Simulation simulation = busyUntilLoss(seed);
+    circumstance.begin.accept(simulation);
+    terminateAll(simulation);
+    assertWorkGoesOn(simulation, LOSS, BOUND + circumstance.lasts);
+  }
+
+  @ParameterizedTest(name = "{0}, seed {1}")
+  @CsvSource({
+    "NONE, 1", "NONE, 2", "NONE, 5",
+    "LEADER_CRASHES, 1", "LEADER_CRASHES, 2", "LEADER_CRASHES, 5",
+    "PEERS_CUT, 1", "PEERS_CUT, 2", "PEERS_CUT, 5"
+  })
+  @DisplayName("A fleet that hangs and does not return is replaced in time")
+  void hangsForEver(Circumstance circumstance, long seed) {
+    Simulation simulation = busyUntilLoss(seed);
+    circumstance.begin.accept(simulation);
+    hangAll(simulation, 600 * SECOND);
+    // With the others out of reach each controller leads for its turn before one leads on.
+    long turns = circumstance == Circumstance.PEERS_CUT ? 2 * (HANDOVER + 16 * SECOND) : 0;
+    assertWorkGoesOn(simulation, LOSS, BOUND + turns);
+  }
+
+  @ParameterizedTest(name = "seed {0}")
+  @ValueSource(longs = {1, 2, 5})
+  @DisplayName("A fleet whose machines stop as a whole is replaced in time")
+  void stops(long seed) {
+    Simulation simulation = busyUntilLoss(seed);
+    simulation.workers().forEach(worker -> simulation.cloud.stop(worker.name));
+    assertWorkGoesOn(simulation, LOSS, BOUND);
+  }
+
+  @ParameterizedTest(name = "seed {0}")
+  @ValueSource(longs = {1, 2, 5})
+  @DisplayName("One zone taken back as a whole holds up nobody")
+  void zoneTaken(long seed) {
+    Simulation simulation = busyUntilLoss(seed);
+    terminate(simulation, simulation.workers().stream().filter(w -> w.zone.equals("a")).toList());
+    assertWorkGoesOn(simulation, LOSS, BOUND);
+  }
+
+  @ParameterizedTest(name = "seed {0}")
+  @ValueSource(longs = {1, 2, 5})
+  @DisplayName("All spot machines taken back at once hold up nobody")
+  void spotMachinesTaken(long seed) {
+    Simulation simulation = busyUntilLoss(seed);
+    terminate(simulation, simulation.workers().stream().filter(w -> w.spot).toList());
+    assertWorkGoesOn(simulation, LOSS, BOUND);
+  }
+
+  @ParameterizedTest(name = "seed {0}, for {1} s")
+  @CsvSource({"1, 12", "2, 12", "5, 12", "1, 40", "2, 40", "5, 40"})
+  @DisplayName("A fleet that hangs and returns is used again")
+  void hangsAndReturns(long seed, long seconds) {
+    Simulation simulation = busyUntilLoss(seed);
+    List<String> fleet = simulation.workers().stream().map(worker -> worker.name).toList();
+    hangAll(simulation, seconds * SECOND);
+    int leasesLost = simulation.leasesLost;
+    simulation.runUntil(LOSS + seconds * SECOND);
+    // Idle ones may be returned from then on.
+    assertTrue(
+        simulation.workers().stream().map(worker -> worker.name).toList().containsAll(fleet),
+        "machines that hung were released");
+    simulation.runUntil(LOSS + seconds * SECOND + 8 * SECOND);
+    if (seconds * SECOND < simulation.settings.workers().leaseMicros() - 2 * SECOND) {
+      assertEquals(leasesLost, simulation.leasesLost, "answered in time");
+    }
+    assertWorkGoesOn(simulation, simulation.clock.now(), BOUND);
+  }
+}
--- a/src/test/java/org/dewreach/sim/SimCloud.java
+++ b/src/test/java/org/dewreach/sim/SimCloud.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -19,6 +20,12 @@
           new MachineType("big", 16, 0, 64, 50, 0.5, 1.0, 0.3, 5_000_000, List.of("a", "b")),
           new MachineType("small", 4, 0, 32, 50, 0.5, 0.3, 0.1, 4_000_000, List.of("a", "b")));
 
+  /** New machines are missing from the list for this long. */
+  private static final long NEW_UNLISTED_MICROS = 3_000_000;
+
+  /** A machine that stopped is listed as running for this long. */
+  private static final long STOPPED_UNNOTICED_MICROS = 30_000_000;
+
   private record Host(String name, MachineType type, String zone, boolean spot, long since) {}
 
   private final Simulation simulation;
@@ -26,6 +33,19 @@
   private final Map<String, Host> hosts = new TreeMap<>();
   final Map<String, SimWorker> workers = new TreeMap<>();
   private final Map<String, List<String>> rentals = new HashMap<>();
+
+  /** Machines that are gone, and since when: the list has them for a while yet. */
+  private final Map<Host, Long> goneSince = new HashMap<>();
+
+  /** Machines that have stopped by themselves, and since when. */
+  private final Map<String, Long> stoppedSince = new HashMap<>();
+
+  /** A list describes a time up to twice this long ago, drawn anew for each page. */
+  long listLagMicros;
+
+  /** Until when no machine is granted. */
+  long noCapacityUntil;
+
   double bootFactor = 1;
 
   /** Share of the machines rented that never come up, in twelfths. */
@@ -75,7 +95,19 @@
 
   /** A machine taken back, or dying, without the cloud's list telling at once. */
   void terminate(String name) {
-    hosts.remove(name);
+    Host host = hosts.remove(name);
+    if (host != null && listLagMicros > 0) {
+      goneSince.put(host, simulation.clock.now());
+    }
+    SimWorker worker = workers.remove(name);
+    if (worker != null) {
+      worker.shutDown();
+    }
+  }
+
+  /** A machine stops by itself: it is listed as running for 30 s more, and then as failed. */
+  void stop(String name) {
+    stoppedSince.put(name, simulation.clock.now());
     SimWorker worker = workers.remove(name);
     if (worker != null) {
       worker.shutDown();
@@ -119,9 +151,7 @@
           hosts.values().stream()
               .filter(h -> h.type() == type && h.zone().equals(zone) && h.spot() == spot)
               .count();
-      for (long i = used;
-          i < simulation.size.capacity() && names.size() < body.path("count").asInt();
-          i++) {
+      for (long i = used; i < capacity() && names.size() < body.path("count").asInt(); i++) {
         Host host =
             new Host(String.format("vm-%06d", ++last), type, zone, spot, simulation.clock.now());
         hosts.put(host.name(), host);
@@ -148,6 +178,10 @@
     reply.send(200, answer);
   }
 
+  private int capacity() {
+    return simulation.clock.now() < noCapacityUntil ? 0 : simulation.size.capacity();
+  }
+
   private void boot(Host host) {
     if (hosts.containsKey(host.name())) {
       workers.put(
@@ -166,12 +200,12 @@
   private void list(String path, Reply reply) {
     int at = path.indexOf("after=");
     String after = at < 0 ? "" : path.substring(at + 6, path.indexOf('&', at));
+    long describedAt = describedAt();
     ObjectNode answer = Codec.map();
     ArrayNode list = answer.putArray("hosts");
     boolean more = false;
-    for (Host host : hosts.values()) {
-      boolean shown =
-          simulation.clock.now() - host.since() > 3_000_000 && host.name().compareTo(after) > 0;
+    for (Host host : listedAt(describedAt)) {
+      boolean shown = host.name().compareTo(after) > 0;
       if (shown && list.size() >= simulation.size.listPage()) {
         more = true;
         break;
@@ -179,11 +213,41 @@
       if (shown) {
         ObjectNode item = list.addObject().put("uid", host.name()).put("address", host.name());
         item.put("build", host.type().name()).put("site", host.zone()).put("loaners", host.spot());
-        item.put("standing", workers.containsKey(host.name()) ? "running" : "booting");
-        item.put("age_s", (simulation.clock.now() - host.since()) / 1e6);
+        item.put("standing", standing(host, describedAt));
+        item.put("age_s", (describedAt - host.since()) / 1e6);
       }
     }
     answer.put("more", more);
     reply.send(200, answer);
   }
+
+  private long describedAt() {
+    long now = simulation.clock.now();
+    return listLagMicros == 0 ? now : now - random.nextLong(2 * listLagMicros);
+  }
+
+  /** The machines that a list of that time has, in the order of their names. */
+  private Collection<Host> listedAt(long describedAt) {
+    Map<String, Host> listed = new TreeMap<>();
+    for (Host host : hosts.values()) {
+      if (describedAt - host.since() > (listLagMicros == 0 ? NEW_UNLISTED_MICROS : 0)) {
+        listed.put(host.name(), host);
+      }
+    }
+    goneSince.forEach(
+        (host, since) -> {
+          if (since > describedAt && host.since() < describedAt) {
+            listed.put(host.name(), host);
+          }
+        });
+    return listed.values();
+  }
+
+  private String standing(Host host, long describedAt) {
+    Long since = stoppedSince.get(host.name());
+    if (since != null) {
+      return describedAt - since > STOPPED_UNNOTICED_MICROS ? "failed" : "running";
+    }
+    return workers.containsKey(host.name()) ? "running" : "booting";
+  }
 }
