A leader hands over for want of workers only while another may hear them

What callers saw: once a whole fleet was lost, or hung and did not return, no task started any more. Submissions, questions and cancellations were answered all along.

Cause: a leader that hears hardly any worker gives up the lead, and the next one waits for the leases of the machines it has not heard, counted from its own beginning. With heartbeats of 2.5 s the first takes 14.1 s and the second 15.6 s, so no leader ever got there.

Change: the first handover is as it was. A leader that has waited for its workers asks the other controllers for the machines that it misses, and leads on unless one of them hears a good part. Controllers of earlier versions answer 404, which counts as not telling; no message that exists changes its form.

Why it holds: a silence that every controller shares ends no term after the first one, so the leases are over by somebody's count. It touches no rule: leading on needs authority as ever, and tasks are unbound for the same reasons as before.

--- a/src/main/java/org/dewreach/controller/Controller.java
+++ b/src/main/java/org/dewreach/controller/Controller.java
@@ -55,7 +55,8 @@
         new LeaderDiscovery(outbox, settings, leadership.election(), leadership.delegateRenewer());
     this.userRequests = new UserRequestRouter(services, leadership, clock, boot);
     this.heartbeats = new HeartbeatRouter(services, leadership, clock);
-    this.peerRequests = new PeerRequestRouter(outbox, leadership, clock, userRequests, this::stats);
+    this.peerRequests =
+        new PeerRequestRouter(services, leadership, clock, userRequests, this::stats);
   }
 
   private long effectsValidUntil() {
--- a/src/main/java/org/dewreach/controller/Leadership.java
+++ b/src/main/java/org/dewreach/controller/Leadership.java
@@ -141,6 +141,7 @@
 
   @Override
   public void resignUnreachable() {
+    services.handovers().recordHandover(clock.now());
     election.resign(clock.now(), "no heartbeats reach this node");
   }
 
--- a/src/main/java/org/dewreach/controller/LeadershipTerm.java
+++ b/src/main/java/org/dewreach/controller/LeadershipTerm.java
@@ -5,6 +5,7 @@
 import org.dewreach.heartbeat.HeartbeatHandler;
 import org.dewreach.leadership.LeaseDelegations;
 import org.dewreach.membership.FleetManager;
+import org.dewreach.membership.HandoverPolicy;
 import org.dewreach.membership.RecoveryTracker;
 import org.dewreach.model.Job;
 import org.dewreach.model.JobPhase;
@@ -64,6 +65,7 @@
   private final JobRequestHandler requestHandler;
   private final LeaseDelegations delegations;
   private final FleetManager fleet;
+  private final HandoverPolicy handoverPolicy;
   private final PlacementLoop placement;
   private final DirectCommandSender commandSender;
   private final TermReporter reporter;
@@ -101,6 +103,7 @@
     this.requestHandler = components.requestHandler;
     this.delegations = components.delegations;
     this.fleet = components.fleet;
+    this.handoverPolicy = components.handoverPolicy;
     this.placement = components.placement;
     this.commandSender = components.commandSender;
     this.reporter = components.reporter;
@@ -169,7 +172,7 @@
     placement.tick(phase == Phase.ACTIVE, nowMicros);
     boolean everyTaskKnown = phase == Phase.ACTIVE || clusterState.machines().isEmpty();
     fleet.tick(nowMicros, placement.unplaced(), everyTaskKnown);
-    if (fleet.partitionedFromWorkers()) {
+    if (handoverPolicy.shouldGiveUpLead(nowMicros)) {
       // Guards against a leader that keeps its key and receives no heartbeat until all leases
       // expire.
       LOG.info("no heartbeats reach this node, giving up the lead: term={}", number);
--- a/src/main/java/org/dewreach/controller/NodeServices.java
+++ b/src/main/java/org/dewreach/controller/NodeServices.java
@@ -4,6 +4,8 @@
 import org.dewreach.config.Settings;
 import org.dewreach.config.Tuning;
 import org.dewreach.history.FinalStates;
+import org.dewreach.leadership.LeadHandovers;
+import org.dewreach.leadership.WorkerContacts;
 import org.dewreach.port.Outbox;
 import org.dewreach.state.MachineTypeCatalog;
 import org.dewreach.store.KeyValueStore;
@@ -18,6 +20,8 @@
  * @param cloud the cloud's machines
  * @param catalog the machine types
  * @param finalStates the final states known to be durable
+ * @param workerContacts when each worker last sent this node a heartbeat
+ * @param handovers when this node last gave up the lead for want of workers
  * @param wallOffsetMicros time of day minus event time
  */
 record NodeServices(
@@ -28,6 +32,8 @@
     CloudClient cloud,
     MachineTypeCatalog catalog,
     FinalStates finalStates,
+    WorkerContacts workerContacts,
+    LeadHandovers handovers,
     long wallOffsetMicros) {
 
   /** Services that send through the given outbox, and have read nothing yet. */
@@ -43,6 +49,8 @@
         cloud,
         new MachineTypeCatalog(store, cloud),
         new FinalStates(),
+        new WorkerContacts(),
+        new LeadHandovers(),
         wallOffsetMicros);
   }
 }
--- a/src/main/java/org/dewreach/controller/PeerRequestRouter.java
+++ b/src/main/java/org/dewreach/controller/PeerRequestRouter.java
@@ -1,6 +1,9 @@
 package org.dewreach.controller;
 
 import java.util.function.Supplier;
+import org.dewreach.leadership.WorkerContacts;
+import org.dewreach.peer.ContactRequest;
+import org.dewreach.peer.ContactResponse;
 import org.dewreach.peer.DelegationRequest;
 import org.dewreach.peer.DelegationResponse;
 import org.dewreach.peer.ForwardedReply;
@@ -21,18 +24,20 @@
   private final Leadership leadership;
   private final EventClock clock;
   private final UserRequestRouter userRequests;
+  private final WorkerContacts workerContacts;
   private final Supplier<NodeStats> stats;
 
   PeerRequestRouter(
-      Outbox outbox,
+      NodeServices services,
       Leadership leadership,
       EventClock clock,
       UserRequestRouter userRequests,
       Supplier<NodeStats> stats) {
-    this.outbox = outbox;
+    this.outbox = services.outbox();
     this.leadership = leadership;
     this.clock = clock;
     this.userRequests = userRequests;
+    this.workerContacts = services.workerContacts();
     this.stats = stats;
   }
 
@@ -59,6 +64,8 @@
           onGrantRequest(requestId, PeerMessageCodec.decodeGrantRequest(request.body()));
       case PeerMessageCodec.DELEGATION_PATH ->
           onDelegationRequest(requestId, PeerMessageCodec.decodeDelegationRequest(request.body()));
+      case PeerMessageCodec.CONTACTS_PATH ->
+          onContactRequest(requestId, PeerMessageCodec.decodeContactRequest(request.body()));
       case PeerMessageCodec.FORWARD_PATH ->
           userRequests.onForwarded(
               PeerMessageCodec.decodeForwardedRequest(request.body()),
@@ -86,6 +93,12 @@
     outbox.respond(requestId, HttpStatus.OK, PeerMessageCodec.encode(response));
   }
 
+  private void onContactRequest(long requestId, ContactRequest request) {
+    int heard =
+        workerContacts.countHeardSince(request.machines(), clock.now() - request.withinMicros());
+    outbox.respond(requestId, HttpStatus.OK, PeerMessageCodec.encode(new ContactResponse(heard)));
+  }
+
   private void respond(long requestId, ForwardedReply reply) {
     outbox.respond(requestId, HttpStatus.OK, PeerMessageCodec.encode(reply));
   }
--- a/src/main/java/org/dewreach/controller/TermComponents.java
+++ b/src/main/java/org/dewreach/controller/TermComponents.java
@@ -6,7 +6,9 @@
 import org.dewreach.heartbeat.DirectCommandSender;
 import org.dewreach.heartbeat.HeartbeatHandler;
 import org.dewreach.leadership.LeaseDelegations;
+import org.dewreach.leadership.PeerContacts;
 import org.dewreach.membership.FleetManager;
+import org.dewreach.membership.HandoverPolicy;
 import org.dewreach.membership.RecoveryTracker;
 import org.dewreach.request.JobRequestHandler;
 import org.dewreach.state.ClusterState;
@@ -47,6 +49,7 @@
   final MachineRegistry registry;
   final LeaseDelegations delegations;
   final FleetManager fleet;
+  final HandoverPolicy handoverPolicy;
   final RecoveryTracker recovery;
   final CancellationGate cancellationGate;
   final JobRecordWriter recordWriter;
@@ -77,16 +80,11 @@
             callbacks.records());
     this.delegations = new LeaseDelegations(term, settings, control::lastRenewalAt);
     this.fleet = newFleetManager(nowMicros);
+    this.handoverPolicy = newHandoverPolicy();
     this.recovery = new RecoveryTracker(clusterState, fleet);
     this.cancellationGate = new CancellationGate(clusterState, settings, delegations, recovery);
     this.recordWriter = new JobRecordWriter(queue, cancellationGate, callbacks.records());
-    this.loader =
-        new ClusterStateLoader(
-            services.store(),
-            clusterState,
-            registry,
-            services.catalog(),
-            services.wallOffsetMicros());
+    this.loader = newLoader();
     this.jobImporter =
         new LeaderlessJobImporter(
             services.store(), clusterState, recordWriter, callbacks.onImportFailed());
@@ -127,6 +125,16 @@
         services.wallOffsetMicros());
   }
 
+  private HandoverPolicy newHandoverPolicy() {
+    PeerContacts peers = new PeerContacts(services.outbox(), settings);
+    return new HandoverPolicy(fleet, peers, services.handovers(), settings);
+  }
+
+  private ClusterStateLoader newLoader() {
+    return new ClusterStateLoader(
+        services.store(), clusterState, registry, services.catalog(), services.wallOffsetMicros());
+  }
+
   private JobRequestHandler newRequestHandler() {
     return new JobRequestHandler(
         clusterState,
--- a/src/main/java/org/dewreach/membership/FleetHealth.java
+++ b/src/main/java/org/dewreach/membership/FleetHealth.java
@@ -14,6 +14,9 @@
 record FleetHealth(
     Map<MachineCondition, List<Machine>> byCondition, List<Machine> overdue, int reachable) {
 
+  /** What is known before the first pass. */
+  static final FleetHealth NOTHING_KNOWN = new FleetHealth(Map.of(), List.of(), 0);
+
   /** So many machines do not fall silent at once, unless it is us. A default of this project. */
   private static final int MIN_UNREACHABLE_FOR_PARTITION = 3;
 
@@ -40,7 +43,8 @@
     return overdue.size() + count(MachineCondition.MISSES_REPLIES);
   }
 
-  private int lost() {
+  /** How many machines' leases are over without a heartbeat since. */
+  int lost() {
     return count(MachineCondition.LOST) + count(MachineCondition.LOST_FOR_GOOD);
   }
 
@@ -61,7 +65,21 @@
    * True if nearly all are unreachable. Machines that have just come up may be heard all the same.
    */
   boolean nearlyAllUnreachable() {
-    return unreachable() >= MIN_UNREACHABLE_FOR_PARTITION
-        && unreachable() >= UNREACHABLE_PER_REACHABLE_FOR_PARTITION * reachable;
+    return areNearlyAll(unreachable());
+  }
+
+  /** As {@link #nearlyAllUnreachable}, with those whose leases are over by now. */
+  boolean nearlyAllUnreachableOrLost() {
+    return areNearlyAll(unreachable() + lost());
+  }
+
+  /** True if most of the unreachable machines are heard and only do not take answers. */
+  boolean mostlyMissesReplies() {
+    return count(MachineCondition.MISSES_REPLIES) > overdue.size();
+  }
+
+  private boolean areNearlyAll(int machines) {
+    return machines >= MIN_UNREACHABLE_FOR_PARTITION
+        && machines >= UNREACHABLE_PER_REACHABLE_FOR_PARTITION * reachable;
   }
 }
--- a/src/main/java/org/dewreach/membership/FleetManager.java
+++ b/src/main/java/org/dewreach/membership/FleetManager.java
@@ -34,6 +34,7 @@
   private final TaskConsolidator consolidator;
   private final ScaleOutExecutor scaleOut;
   private final CloudReconciler cloudReconciler;
+  private FleetHealth health = FleetHealth.NOTHING_KNOWN;
   private long nextRoundAt;
 
   /**
@@ -96,7 +97,7 @@
       return;
     }
     nextRoundAt = nowMicros + ROUND_INTERVAL_MICROS;
-    healthMonitor.checkMachines(nowMicros);
+    health = healthMonitor.checkMachines(nowMicros);
     drainer.drainMachines(nowMicros);
     if (mayScale) {
       // Before all machines are reconciled, what looks idle may be needed in a moment.
@@ -115,8 +116,13 @@
     return failureDetector.isSilent(machine, nowMicros);
   }
 
+  /** What the last round found. */
+  FleetHealth health() {
+    return health;
+  }
+
   /** True if it is this node that has lost the workers, which another node may well have. */
-  public boolean partitionedFromWorkers() {
+  boolean partitionedFromWorkers() {
     return partitionDetector.partitionedFromWorkers();
   }
 
--- /dev/null
+++ b/src/main/java/org/dewreach/membership/HandoverPolicy.java
@@ -0,0 +1,127 @@
+package org.dewreach.membership;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.dewreach.config.Settings;
+import org.dewreach.leadership.LeadHandovers;
+import org.dewreach.leadership.PeerContacts;
+import org.dewreach.model.Machine;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Decides whether a leader that hears hardly any worker gives up the lead.
+ *
+ * <p>Another controller may have the workers that this one has lost; then it had better lead. But a
+ * fleet that is gone, or hangs as a whole, is heard nowhere. If every leader gave up then, each
+ * before the workers' leases are over by its own count, nothing would be placed anew for as long as
+ * the silence lasts. So a leader gives up at once only the first time, before the workers can have
+ * turned to others; after that it asks the others, and leads on unless one of them hears workers.
+ */
+public final class HandoverPolicy {
+  private static final Logger LOG = LoggerFactory.getLogger(HandoverPolicy.class);
+
+  /** A worker waits this long for an answer, with the pause, before it tries another controller. */
+  private static final long NODE_RETRY_MICROS = 5_000_000;
+
+  /** How a leader stands to the workers. */
+  enum Phase {
+    /** Enough workers are heard and take answers. */
+    REACHING_WORKERS,
+    /** Hardly any is heard; it is not sure yet, or the workers may still be looking for us. */
+    SUSPECTING_PARTITION,
+    /** Another controller hears them, or may hear them: it is to lead. */
+    GIVING_UP_LEAD,
+    /** No other controller is known to hear them: handing over would help nobody. */
+    LEADING_ON
+  }
+
+  private final FleetManager fleet;
+  private final PeerContacts peers;
+  private final LeadHandovers handovers;
+  private final Settings settings;
+  private Phase phase = Phase.REACHING_WORKERS;
+  private long suspectedSince;
+
+  /** A policy of one term. */
+  public HandoverPolicy(
+      FleetManager fleet, PeerContacts peers, LeadHandovers handovers, Settings settings) {
+    this.fleet = fleet;
+    this.peers = peers;
+    this.handovers = handovers;
+    this.settings = settings;
+  }
+
+  /** True if this node had better let another one lead. */
+  public boolean shouldGiveUpLead(long nowMicros) {
+    FleetHealth health = fleet.health();
+    if (health.nearlyAllUnreachableOrLost()) {
+      peers.ask(unheard(health), contactMicros(), nowMicros);
+    }
+    PeerContacts.Report report = peers.report(nowMicros);
+    if (phase == Phase.REACHING_WORKERS) {
+      suspectedSince = nowMicros;
+    }
+    become(nextPhase(health, report, nowMicros), health, report);
+    return phase == Phase.GIVING_UP_LEAD;
+  }
+
+  private Phase nextPhase(FleetHealth health, PeerContacts.Report report, long nowMicros) {
+    if (!health.nearlyAllUnreachableOrLost()) {
+      return Phase.REACHING_WORKERS;
+    }
+    if (!health.nearlyAllUnreachable()) {
+      // Their leases are over: only what another one hears speaks for handing over now.
+      return report == PeerContacts.Report.HEARD_ELSEWHERE
+          ? Phase.GIVING_UP_LEAD
+          : Phase.LEADING_ON;
+    }
+    if (!fleet.partitionedFromWorkers()) {
+      return phase == Phase.LEADING_ON ? phase : Phase.SUSPECTING_PARTITION;
+    }
+    if (report == PeerContacts.Report.HEARD_ELSEWHERE) {
+      return Phase.GIVING_UP_LEAD;
+    }
+    return heardNowhere(health, report, nowMicros) || handovers.recentlyHandedOver(nowMicros)
+        ? Phase.LEADING_ON
+        : Phase.GIVING_UP_LEAD;
+  }
+
+  /**
+   * True if every other controller would hear the workers by now if it reached them, and does not.
+   *
+   * <p>Workers that are heard here and take no answers are heard elsewhere too: that tells nothing.
+   */
+  private boolean heardNowhere(FleetHealth health, PeerContacts.Report report, long nowMicros) {
+    return report == PeerContacts.Report.HEARD_NOWHERE
+        && !health.mostlyMissesReplies()
+        && nowMicros - suspectedSince >= NODE_RETRY_MICROS;
+  }
+
+  private void become(Phase next, FleetHealth health, PeerContacts.Report report) {
+    if (next != phase) {
+      LOG.info(
+          "worker reachability changed: from={} to={} reachable={} overdue={} misses_replies={}"
+              + " lost={} others={}",
+          phase,
+          next,
+          health.reachable(),
+          health.overdue().size(),
+          health.in(MachineCondition.MISSES_REPLIES).size(),
+          health.lost(),
+          report);
+      phase = next;
+    }
+  }
+
+  private static List<String> unheard(FleetHealth health) {
+    List<Machine> unheard = new ArrayList<>(health.overdue());
+    unheard.addAll(health.in(MachineCondition.LOST));
+    return unheard.stream().map(Machine::name).toList();
+  }
+
+  /** A worker that is led by a node out of its reach is heard by another this often, or oftener. */
+  private long contactMicros() {
+    return 2 * settings.workers().reportMicros() + NODE_RETRY_MICROS;
+  }
+}
--- a/src/main/java/org/dewreach/membership/MachineHealthMonitor.java
+++ b/src/main/java/org/dewreach/membership/MachineHealthMonitor.java
@@ -33,8 +33,8 @@
     this.scaleIn = scaleIn;
   }
 
-  /** Looks at all machines and acts on what is found. Called once a round. */
-  void checkMachines(long nowMicros) {
+  /** Looks at all machines, acts on what is found, and returns it. Called once a round. */
+  FleetHealth checkMachines(long nowMicros) {
     FleetHealth health = detector.assess(clusterState.machines().values(), nowMicros);
     markForRelease(health.in(MachineCondition.RESTARTED), "worker restarted", nowMicros);
     markForRelease(health.in(MachineCondition.NEVER_UP), "never came up", nowMicros);
@@ -53,6 +53,7 @@
       markForRelease(
           health.in(MachineCondition.MISSES_REPLIES), "does not take answers", nowMicros);
     }
+    return health;
   }
 
   private void markForRelease(Collection<Machine> machines, String reason, long nowMicros) {
--- a/src/main/java/org/dewreach/peer/PeerMessageCodec.java
+++ b/src/main/java/org/dewreach/peer/PeerMessageCodec.java
@@ -1,7 +1,10 @@
 package org.dewreach.peer;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import org.dewreach.wire.Codec;
 import org.dewreach.wire.HttpStatus;
@@ -22,6 +25,9 @@
   /** Where the leader takes requests for delegations. */
   public static final String DELEGATION_PATH = "/peer/stand-in";
 
+  /** Where a controller tells which workers it hears. */
+  public static final String CONTACTS_PATH = "/peer/contacts";
+
   private PeerMessageCodec() {}
 
   /** Encodes a user's request. */
@@ -152,4 +158,37 @@
     return new DelegationResponse(
         body.path("term").asLong(), body.path("lent").asLong(), body.path("at").asLong());
   }
+
+  /** Encodes a question for the workers that another controller hears. */
+  public static ObjectNode encode(ContactRequest request) {
+    ObjectNode map = Codec.map().put("within", request.withinMicros());
+    ArrayNode hosts = map.putArray("hosts");
+    request.machines().forEach(hosts::add);
+    return map;
+  }
+
+  /** Decodes a question for the workers that this controller hears. */
+  public static ContactRequest decodeContactRequest(JsonNode body) {
+    List<String> machines = new ArrayList<>();
+    body.path("hosts").forEach(machine -> machines.add(machine.asText()));
+    return new ContactRequest(machines, body.path("within").asLong(0));
+  }
+
+  /** Encodes how many of the workers this controller hears. */
+  public static ObjectNode encode(ContactResponse response) {
+    return Codec.map().put("heard", response.heard());
+  }
+
+  /**
+   * Decodes how many of the workers another controller hears; empty if it did not tell.
+   *
+   * @param httpStatus the status of the call, or 0 if no response came
+   * @param body the body of the call's response, or null
+   */
+  public static Optional<ContactResponse> decodeContactResponse(int httpStatus, JsonNode body) {
+    if (httpStatus != HttpStatus.OK || body == null || !body.path("heard").canConvertToInt()) {
+      return Optional.empty();
+    }
+    return Optional.of(new ContactResponse(body.path("heard").intValue()));
+  }
 }
--- a/src/test/java/org/dewreach/peer/PeerMessageCodecTest.java
+++ b/src/test/java/org/dewreach/peer/PeerMessageCodecTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
 import java.util.Optional;
 import org.dewreach.wire.Codec;
 import org.dewreach.wire.JobState;
@@ -122,4 +123,24 @@
     assertEquals("{\"term\":0}", refusal.toString());
     assertEquals(DelegationResponse.REFUSED, PeerMessageCodec.decodeDelegationResponse(refusal));
   }
+
+  @Test
+  void contactsAreReadAsTheyWereWritten() {
+    ContactRequest request = new ContactRequest(List.of("vm-1", "vm-2"), 7);
+    ObjectNode message = PeerMessageCodec.encode(request);
+    assertEquals("{\"within\":7,\"hosts\":[\"vm-1\",\"vm-2\"]}", message.toString());
+    assertEquals(request, PeerMessageCodec.decodeContactRequest(message));
+    ObjectNode answer = PeerMessageCodec.encode(new ContactResponse(1));
+    assertEquals("{\"heard\":1}", answer.toString());
+    assertEquals(
+        Optional.of(new ContactResponse(1)), PeerMessageCodec.decodeContactResponse(200, answer));
+  }
+
+  /** An earlier version answers 404, and a node that is down nothing. */
+  @Test
+  void aNodeThatDoesNotTellItsContactsHasToldNothing() {
+    assertEquals(Optional.empty(), PeerMessageCodec.decodeContactResponse(404, null));
+    assertEquals(Optional.empty(), PeerMessageCodec.decodeContactResponse(0, null));
+    assertEquals(Optional.empty(), PeerMessageCodec.decodeContactResponse(200, Codec.map()));
+  }
 }
--- a/src/test/java/org/dewreach/sim/FleetLossTest.java
+++ b/src/test/java/org/dewreach/sim/FleetLossTest.java
@@ -150,6 +150,17 @@
     assertWorkGoesOn(simulation, LOSS, BOUND);
   }
 
+  @ParameterizedTest(name = "seed {0}")
+  @ValueSource(longs = {1, 2, 5})
+  @DisplayName("A fleet taken back twice in a row is replaced twice")
+  void takenTwice(long seed) {
+    Simulation simulation = busyUntilLoss(seed);
+    terminateAll(simulation);
+    assertWorkGoesOn(simulation, LOSS, BOUND);
+    terminateAll(simulation);
+    assertWorkGoesOn(simulation, simulation.clock.now(), BOUND);
+  }
+
   @ParameterizedTest(name = "seed {0}")
   @ValueSource(longs = {1, 2, 5})
   @DisplayName("One zone taken back as a whole holds up nobody")
--- a/src/test/java/org/dewreach/sim/LostFleetTest.java
+++ b/src/test/java/org/dewreach/sim/LostFleetTest.java
@@ -9,7 +9,21 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** All machines are taken back at once, and the cloud lists them no more. */
+/**
+ * All machines are taken back at once, and the cloud lists them no more.
+ *
+ * <p>Nothing ran any more then, for as long as the test looked. A leader that hears no worker hands
+ * over, since another one may hear them. The next leader reads the machines from their records and
+ * waits for their leases, which it counts from its own beginning: 15.25 s with the margins of 15.6
+ * s. After 14.1 s it hands over too, and the one after it begins anew. While machines of earlier
+ * terms are open nothing is rented and no job of earlier terms is placed.
+ *
+ * <p>The log of seed 1 has "giving up the lead" for the terms 1, 72, 87, 95, 104, 112 and so on,
+ * each of the later ones while RECOVERING with 9 machines, one of them up. Seed 3 passed because
+ * three machines that were still booting came up: 8 unheard ones for 3 heard ones are not nearly
+ * all, so the second leader stayed until the leases were over. With leases of 10 s no seed failed:
+ * they are over before a leader hands over.
+ */
 class LostFleetTest {
   @ParameterizedTest(name = "seed {0}")
   @ValueSource(longs = {1, 2, 3})
