Machines that the cloud lists no more are released in any term

What callers saw: when a fleet was taken back while leaders changed, or while the controllers could not reach each other, no job of earlier terms was placed and nothing was rented until one leader had stayed for longer than the workers' leases.

Cause: a new leader waits for the leases of machines that it has not heard, counted from its own beginning, also for machines that the cloud's list has lost already. The list was used to add machines and to release failed ones only.

Change: a machine that a page of the list lacks, although it covers the name and the machine was known three lags and 2 s before the page was asked for, is released once it misses a heartbeat too. Its tasks stay bound until the cloud has confirmed the release, so the list proves nothing by itself.

--- a/src/main/java/org/dewreach/membership/CloudReconciler.java
+++ b/src/main/java/org/dewreach/membership/CloudReconciler.java
@@ -1,6 +1,8 @@
 package org.dewreach.membership;
 
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import org.dewreach.autoscaling.ScaleInExecutor;
 import org.dewreach.cloud.CloudClient;
 import org.dewreach.cloud.CloudFailure;
@@ -18,7 +20,12 @@
 
 /**
  * Compares the cloud's list of machines with the cluster state: adds machines that are unknown here
- * and releases those that have failed.
+ * and releases those that have failed or are listed no more.
+ *
+ * <p>A machine that the cloud took away would otherwise be waited for until its worker's lease has
+ * expired, and each new leader counts that anew. What the list says holds for every leader at once.
+ * It is not taken for proof: the machine is released, and its tasks are placed elsewhere once the
+ * cloud has confirmed that.
  */
 final class CloudReconciler {
   private static final Logger LOG = LoggerFactory.getLogger(CloudReconciler.class);
@@ -29,12 +36,24 @@
    */
   private static final long MIN_INTERVAL_MICROS = 5_000_000;
 
+  /** The list may describe a time this many times its lag ago, read the most cautious way. */
+  private static final int MAX_LAG_FACTOR = 3;
+
+  /** For delays, and for what the times of day of two controllers may differ by. */
+  private static final long LIST_AGE_MARGIN_MICROS = 2_000_000;
+
   private final ClusterState clusterState;
   private final MachineRegistry registry;
   private final CloudClient cloud;
   private final MachineTypeCatalog catalog;
   private final ScaleInExecutor scaleIn;
+  private final FailureDetector failureDetector;
   private final long intervalMicros;
+  private final long maxListAgeMicros;
+
+  /** Machines that are gone, as the last pages that cover them tell. */
+  private final Set<String> unlisted = new HashSet<>();
+
   private boolean requestInFlight;
   private long nextListingAt;
   private boolean closed;
@@ -46,13 +65,17 @@
       CloudClient cloud,
       MachineTypeCatalog catalog,
       Settings settings,
-      ScaleInExecutor scaleIn) {
+      ScaleInExecutor scaleIn,
+      FailureDetector failureDetector) {
     this.clusterState = clusterState;
     this.registry = registry;
     this.cloud = cloud;
     this.catalog = catalog;
     this.scaleIn = scaleIn;
-    this.intervalMicros = Math.max(MIN_INTERVAL_MICROS, settings.cloudLimits().listLagMicros());
+    this.failureDetector = failureDetector;
+    long lagMicros = settings.cloudLimits().listLagMicros();
+    this.intervalMicros = Math.max(MIN_INTERVAL_MICROS, lagMicros);
+    this.maxListAgeMicros = MAX_LAG_FACTOR * lagMicros + LIST_AGE_MARGIN_MICROS;
   }
 
   /** Ignores all later answers of the cloud. */
@@ -60,8 +83,9 @@
     closed = true;
   }
 
-  /** Begins to read the list when it is due and no request is in flight. */
+  /** Begins to read the list when it is due, and releases what it lacked and is still silent. */
   void reconcile(long nowMicros) {
+    releaseUnlisted(nowMicros);
     if (requestInFlight || nowMicros < nextListingAt || !cloud.mayCall(nowMicros)) {
       return;
     }
@@ -71,29 +95,64 @@
 
   private void requestPage(String afterMachine, long nowMicros) {
     requestInFlight = true;
-    cloud.listMachines(nowMicros, afterMachine, (answeredAt, result) -> onPage(result, answeredAt));
+    cloud.listMachines(
+        nowMicros,
+        afterMachine,
+        (answeredAt, result) -> onPage(afterMachine, nowMicros, result, answeredAt));
   }
 
-  private void onPage(MachineListResult result, long nowMicros) {
+  private void onPage(
+      String afterMachine, long requestedAt, MachineListResult result, long nowMicros) {
     if (closed) {
       return;
     }
     requestInFlight = false;
     if (result instanceof MachineListResult.Page page) {
       reconcilePage(page, nowMicros);
+      recordListed(ListedRange.of(afterMachine, page), requestedAt);
+      requestNextPage(page, nowMicros);
     } else if (result instanceof CloudFailure failure && failure.decodingFailed()) {
       LOG.error("machine list malformed: cause=\"{}\"", failure.decodingError());
     }
   }
 
   private void reconcilePage(MachineListResult.Page page, long nowMicros) {
+    page.machines().forEach(listed -> reconcileMachine(listed, nowMicros));
+  }
+
+  private void requestNextPage(MachineListResult.Page page, long nowMicros) {
     List<ListedMachine> machines = page.machines();
-    machines.forEach(listed -> reconcileMachine(listed, nowMicros));
     if (page.more() && !machines.isEmpty()) {
       requestPage(machines.get(machines.size() - 1).name(), nowMicros);
     }
   }
 
+  private void recordListed(ListedRange range, long requestedAt) {
+    unlisted.removeAll(range.names());
+    for (Machine machine : clusterState.machines().values()) {
+      if (range.lacks(machine.name()) && listedOnceIfItExists(machine, requestedAt)) {
+        unlisted.add(machine.name());
+      }
+    }
+  }
+
+  /** True if the oldest list that the cloud may answer with had the machine, unless it was gone. */
+  private boolean listedOnceIfItExists(Machine machine, long requestedAt) {
+    return machine.knownSince() < requestedAt - maxListAgeMicros;
+  }
+
+  private void releaseUnlisted(long nowMicros) {
+    unlisted.retainAll(clusterState.machines().keySet());
+    for (String name : unlisted) {
+      Machine machine = clusterState.machines().get(name);
+      // One that sends heartbeats is kept, whatever the list says.
+      if (machine.phase() != MachinePhase.TERMINATING
+          && failureDetector.missedHeartbeat(machine, nowMicros)) {
+        scaleIn.markForRelease(machine, "no longer listed", nowMicros);
+      }
+    }
+  }
+
   private void reconcileMachine(ListedMachine listed, long nowMicros) {
     if (scaleIn.isReleased(listed.name())) {
       return;
--- a/src/main/java/org/dewreach/membership/FailureDetector.java
+++ b/src/main/java/org/dewreach/membership/FailureDetector.java
@@ -24,6 +24,12 @@
   /** A machine is silent after this many quarters of its heartbeat interval, or later. */
   private static final int SILENT_AFTER_HEARTBEAT_QUARTERS = 13;
 
+  /** Heartbeats come within this many quarters of their interval. */
+  private static final int LONGEST_INTERVAL_QUARTERS = 5;
+
+  /** A worker pauses this long before it tries another controller. */
+  private static final long RETRY_PAUSE_MICROS = 1_000_000;
+
   private static final int PERCENT = 100;
 
   /** A machine is silent after this part of its lease, or later. */
@@ -76,6 +82,12 @@
     return sinceHeartbeatMicros(machine, nowMicros) > overdueAfterMicros();
   }
 
+  /** True if a heartbeat has not come, with one failed attempt at another controller before it. */
+  boolean missedHeartbeat(Machine machine, long nowMicros) {
+    long longestInterval = settings.reportMicros() * LONGEST_INTERVAL_QUARTERS / QUARTERS;
+    return sinceHeartbeatMicros(machine, nowMicros) > longestInterval + RETRY_PAUSE_MICROS;
+  }
+
   /** Time after which a heartbeat is overdue. */
   long overdueAfterMicros() {
     return 2 * settings.reportMicros() + OVERDUE_MARGIN_MICROS;
--- a/src/main/java/org/dewreach/membership/FleetManager.java
+++ b/src/main/java/org/dewreach/membership/FleetManager.java
@@ -66,7 +66,8 @@
     this.scaleOut =
         new ScaleOutExecutor(term, clusterState, registry, cloud, catalog, demand, scaleIn);
     this.cloudReconciler =
-        new CloudReconciler(clusterState, registry, cloud, catalog, settings, scaleIn);
+        new CloudReconciler(
+            clusterState, registry, cloud, catalog, settings, scaleIn, failureDetector);
   }
 
   /** Ignores all later answers of the cloud. */
--- a/src/test/java/org/dewreach/compatibility/LoadedRecordCompatibilityTest.java
+++ b/src/test/java/org/dewreach/compatibility/LoadedRecordCompatibilityTest.java
@@ -36,6 +36,12 @@
     store("dw/new/req-5004", "loaded new cancelled");
     store("dw/over/req-4001", "loaded over done");
     store("dw/over/req-4002", "loaded over cancelled");
+    // The cloud lists a machine that is up for as long as it exists.
+    site.listed.add(
+        Fixtures.json(
+            """
+            {"uid":"vm-000001","address":"10.1.0.1:9000","build":"box","site":"a",
+             "loaners":false,"standing":"running","age_s":15.0}"""));
     worker.tally = 50;
     worker.has("req-5001/2", EARLIER, "running", null);
     worker.has("req-5002/0", EARLIER + 1, "running", null);
--- a/src/test/java/org/dewreach/membership/CloudReconcilerTest.java
+++ b/src/test/java/org/dewreach/membership/CloudReconcilerTest.java
@@ -9,12 +9,16 @@
 import org.dewreach.autoscaling.ScaleInExecutor;
 import org.dewreach.config.Settings;
 import org.dewreach.controller.SettingsFixture;
+import org.dewreach.leadership.LeaseDelegations;
+import org.dewreach.model.Job;
 import org.dewreach.model.Machine;
 import org.dewreach.model.MachinePhase;
+import org.dewreach.model.TaskPhase;
 import org.dewreach.port.Effect;
 import org.dewreach.state.MachineRegistry;
 import org.dewreach.testing.CloudFixture;
 import org.dewreach.testing.ClusterFixture;
+import org.dewreach.testing.JobSpecBuilder;
 import org.dewreach.wire.Codec;
 import org.dewreach.wire.MachineType;
 import org.junit.jupiter.api.Test;
@@ -32,7 +36,16 @@
       new ScaleInExecutor(cluster.state(), registry, cloud.cloud());
   private final CloudReconciler reconciler =
       new CloudReconciler(
-          cluster.state(), registry, cloud.cloud(), cloud.catalog(), SETTINGS, scaleIn);
+          cluster.state(),
+          registry,
+          cloud.cloud(),
+          cloud.catalog(),
+          SETTINGS,
+          scaleIn,
+          new FailureDetector(
+              new LeaseDelegations(ClusterFixture.TERM, SETTINGS, () -> Long.MIN_VALUE),
+              SETTINGS.workers(),
+              0));
 
   private static ObjectNode page(boolean more, String... machines) {
     ObjectNode body = Codec.map().put("more", more);
@@ -48,7 +61,10 @@
     item.put("site", "a").put("loaners", false).put("standing", standing).put("age_s", 20);
   }
 
+  private long lastListingAt;
+
   private Effect.Call list(long nowMicros) {
+    lastListingAt = nowMicros;
     reconciler.reconcile(nowMicros);
     List<Effect.Call> calls = cloud.calls();
     assertEquals(1, calls.size());
@@ -112,4 +128,108 @@
     assertTrue(cluster.state().machines().isEmpty());
     list(6 * S);
   }
+
+  /** A machine that an earlier leader recorded at that time, not heard since. */
+  private Machine recorded(String name, long knownSince) {
+    Machine machine = ClusterFixture.newMachine(name, TYPE, false, MachinePhase.UNKNOWN);
+    machine.knownSince(knownSince);
+    return cluster.add(machine);
+  }
+
+  private void assertReleased(Machine machine) {
+    reconciler.reconcile(lastListingAt);
+    assertEquals(MachinePhase.TERMINATING, machine.phase(), machine.name());
+  }
+
+  private void assertKept(Machine machine) {
+    reconciler.reconcile(lastListingAt);
+    assertEquals(MachinePhase.UNKNOWN, machine.phase(), machine.name());
+  }
+
+  @Test
+  void aRecordedMachineThatIsListedNoMoreIsReleasedAtOnce() {
+    Machine gone = recorded("vm-1", 0);
+    Machine listed = recorded("vm-2", 0);
+    cloud.reply(20 * S, list(20 * S), 200, page(false, "vm-2", "vm-3"));
+    assertReleased(gone);
+    assertKept(listed);
+  }
+
+  /** A list that lags by 3 s may describe a time 9 s ago; 2 s are for delays and clocks. */
+  @Test
+  void aMachineThatMayBeTooNewForTheListIsKept() {
+    Machine old = recorded("vm-1", 9 * S - 1);
+    Machine young = recorded("vm-2", 9 * S);
+    // The answer comes late: what counts is when the list was asked for.
+    cloud.reply(24 * S, list(20 * S), 200, page(false));
+    assertReleased(old);
+    assertKept(young);
+  }
+
+  @Test
+  void aPageTellsNothingAboutOtherPages() {
+    Machine before = recorded("vm-1", 0);
+    Machine within = recorded("vm-3", 0);
+    Machine after = recorded("vm-5", 0);
+    cloud.reply(20 * S, list(20 * S), 200, page(true, "vm-1", "vm-2", "vm-4"));
+    assertKept(before);
+    assertReleased(within);
+    assertKept(after);
+    cloud.reply(20 * S, cloud.calls().get(0), 200, page(false));
+    assertKept(before);
+    assertReleased(after);
+  }
+
+  @Test
+  void aPageThatBreaksOffOrFailsTellsNothing() {
+    Machine machine = recorded("vm-1", 0);
+    cloud.reply(20 * S, list(20 * S), 200, page(true));
+    assertKept(machine);
+    cloud.reply(25 * S, list(25 * S), 503, Codec.map().put("error", "trouble"));
+    assertKept(machine);
+    ObjectNode malformed = page(false);
+    malformed.withArray("hosts").addObject().put("uid", "vm-2");
+    cloud.reply(30 * S, list(30 * S), 200, malformed);
+    assertKept(machine);
+    cloud.reply(35 * S, list(35 * S), 0, null);
+    assertKept(machine);
+  }
+
+  @Test
+  void aMachineThatSendsHeartbeatsIsNotReleasedWhateverTheListSays() {
+    Machine heard = cluster.add(ClusterFixture.newUpMachine("vm-1", TYPE, false));
+    Machine silent = cluster.add(ClusterFixture.newUpMachine("vm-2", TYPE, false));
+    heard.heartbeats().recordHeartbeat(19 * S);
+    silent.heartbeats().recordHeartbeat(12 * S);
+    cloud.reply(20 * S, list(20 * S), 200, page(false));
+    assertReleased(silent);
+    assertEquals(MachinePhase.UP, heard.phase());
+  }
+
+  /** Its heartbeat may be on its way; the list need not be read again for it. */
+  @Test
+  void aNewLeaderWaitsForOneHeartbeatFirst() {
+    Machine gone = recorded("vm-1", -20 * S);
+    cloud.reply(S, list(S), 200, page(false));
+    reconciler.reconcile(2_250_000);
+    assertEquals(MachinePhase.UNKNOWN, gone.phase());
+    reconciler.reconcile(2_250_001);
+    assertEquals(MachinePhase.TERMINATING, gone.phase());
+  }
+
+  @Test
+  void itsTasksStayBoundUntilTheCloudHasConfirmedTheRelease() {
+    Machine gone = cluster.add(ClusterFixture.newUpMachine("vm-1", TYPE, false));
+    Job job = cluster.submitted(JobSpecBuilder.array("req-1").build());
+    cluster.bind(job, 0, gone, TaskPhase.RUNNING, 0);
+    cloud.reply(20 * S, list(20 * S), 200, page(false));
+    assertReleased(gone);
+    assertTrue(job.hasBound(), "the list alone proves nothing");
+    scaleIn.releaseMarked(20 * S);
+    cloud.reply(20 * S, cloud.calls().get(0), 503, null);
+    assertTrue(job.hasBound());
+    scaleIn.releaseMarked(22 * S);
+    cloud.reply(22 * S, cloud.calls().get(0), 200, Codec.map());
+    assertFalse(job.hasBound());
+  }
 }
--- a/src/test/java/org/dewreach/sim/FleetLossTest.java
+++ b/src/test/java/org/dewreach/sim/FleetLossTest.java
@@ -42,10 +42,15 @@
   /** So many tasks show that work goes on; about one job of several tasks arrives each 3 s. */
   private static final int SOME_TASKS = 10;
 
-  private static Simulation busyUntilLoss(long seed) {
+  private static Simulation busySimulation(long seed) {
     Simulation simulation = new Simulation(seed, 1, ClusterSize.LONG_CANCEL);
     simulation.cloud.listLagMicros = 3 * SECOND;
     simulation.startWorkload(400 * SECOND, 3 * SECOND);
+    return simulation;
+  }
+
+  private static Simulation busyUntilLoss(long seed) {
+    Simulation simulation = busySimulation(seed);
     simulation.runUntil(LOSS);
     assertTrue(simulation.workers().size() >= 3, simulation.workers().size() + " machines");
     return simulation;
@@ -84,6 +89,7 @@
   private enum Circumstance {
     NONE(0, simulation -> {}),
     LEADER_CRASHES(0, FleetLossTest::crashLeader),
+    LEADERS_CHANGE(0, simulation -> simulation.faults.changeLeaders(12, 12 * SECOND)),
     CLOUD_DOWN(30 * SECOND, simulation -> simulation.cloud.outage(30 * SECOND)),
     STORE_DOWN(30 * SECOND, simulation -> simulation.state.outage(30 * SECOND)),
     NO_CAPACITY(30 * SECOND, simulation -> simulation.cloud.noCapacityUntil = LOSS + 30 * SECOND),
@@ -112,6 +118,7 @@
   @CsvSource({
     "NONE, 1", "NONE, 2", "NONE, 5",
     "LEADER_CRASHES, 1", "LEADER_CRASHES, 2", "LEADER_CRASHES, 5",
+    "LEADERS_CHANGE, 1", "LEADERS_CHANGE, 2", "LEADERS_CHANGE, 5",
     "CLOUD_DOWN, 1", "CLOUD_DOWN, 2", "CLOUD_DOWN, 5",
     "STORE_DOWN, 1", "STORE_DOWN, 2", "STORE_DOWN, 5",
     "NO_CAPACITY, 1", "NO_CAPACITY, 2", "NO_CAPACITY, 5",
@@ -198,4 +205,38 @@
     }
     assertWorkGoesOn(simulation, simulation.clock.now(), BOUND);
   }
+
+  @ParameterizedTest(name = "seed {0}")
+  @ValueSource(longs = {1, 2, 5})
+  @DisplayName("Heartbeats of machines that are gone, held up on their way, bring nothing back")
+  void lateHeartbeatsOfGoneMachines(long seed) {
+    Simulation simulation = busySimulation(seed);
+    simulation.staleMessages.lateCopies = 300;
+    simulation.staleMessages.replayHeartbeatsToNextLeader(1000, LOSS);
+    simulation.runUntil(LOSS);
+    crashLeader(simulation);
+    terminateAll(simulation);
+    assertWorkGoesOn(simulation, LOSS, BOUND);
+    assertTrue(simulation.staleMessages.replayedHeartbeats > 0, "no heartbeat came late");
+  }
+
+  @ParameterizedTest(name = "seed {0}")
+  @ValueSource(longs = {1, 2, 5})
+  @DisplayName("Machines that run tasks and are not listed yet are kept by a new leader")
+  void notListedYet(long seed) {
+    Simulation simulation = new Simulation(seed, 1, ClusterSize.LONG_CANCEL);
+    simulation.cloud.listLagMicros = 3 * SECOND;
+    simulation.cloud.upAtOnce = true;
+    simulation.startWorkload(120 * SECOND, SECOND);
+    while (simulation.workers().stream().allMatch(worker -> worker.running().isEmpty())) {
+      simulation.runUntil(simulation.clock.now() + SECOND / 10);
+      assertTrue(simulation.clock.now() < LOSS, "nothing runs");
+    }
+    List<SimWorker> fleet = simulation.workers();
+    simulation.controllers.crash(simulation.controllers.leader(), 8 * SECOND);
+    simulation.runUntil(simulation.clock.now() + 15 * SECOND);
+    fleet.forEach(worker -> assertTrue(!worker.dead, worker.name + " was released"));
+    simulation.runUntil(300 * SECOND);
+    assertNoViolations(simulation);
+  }
 }
