Simulation: machines hang for good while leaders change

The symptom only, failing and listed: all 6 cases, the whole fleet and one zone. Found when the waits that a term counts were listed.

--- a/src/test/java/org/dewreach/sim/FleetLossTest.java
+++ b/src/test/java/org/dewreach/sim/FleetLossTest.java
@@ -39,6 +39,9 @@
 
   private static final long BOUND = NOTICED + HANDOVER + LEASES_OVER + NEW_MACHINES + REPLACEMENT;
 
+  /** A lease, and as long as lost machines are kept: 75 s. */
+  private static final long KEPT_OVER_TERMS = LEASES_OVER + 75 * SECOND;
+
   /** So many tasks show that work goes on; about one job of several tasks arrives each 3 s. */
   private static final int SOME_TASKS = 10;
 
@@ -239,4 +242,25 @@
     simulation.runUntil(300 * SECOND);
     assertNoViolations(simulation);
   }
+
+  /**
+   * Machines that hang are listed as before, and each leader ends before their leases are over by
+   * its own count.
+   */
+  @ParameterizedTest(name = "zone only: {0}, seed {1}")
+  @CsvSource({"false, 1", "false, 2", "false, 5", "true, 1", "true, 2", "true, 5"})
+  @DisplayName("Machines that hang for good are replaced in time also while leaders change")
+  void hangsWhileLeadersChange(boolean zoneOnly, long seed) {
+    Simulation simulation = busyUntilLoss(seed);
+    simulation.workers().stream()
+        .filter(worker -> !zoneOnly || worker.zone.equals("a"))
+        .forEach(worker -> worker.hang(600 * SECOND));
+    simulation.faults.changeLeaders(28, 12 * SECOND);
+    simulation.runUntil(LOSS + SECOND);
+    int rented = simulation.cloud.rented;
+    simulation.runUntil(LOSS + KEPT_OVER_TERMS + BOUND);
+    int replaced = simulation.cloud.rented - rented;
+    assertTrue(replaced > 0, "nothing was rented in the time");
+    assertWorkGoesOn(simulation, simulation.clock.now(), BOUND);
+  }
 }
