Recovery that stays open over terms ends, also while leaders change

What callers saw: when machines hung for good, or were cut off for good, and leaders ended every few seconds, nothing was rented and no job that may run on one of these machines was placed, for as long as leaders changed.

Cause: each leader counts the workers' leases from its own beginning, and a leader that ends before leaves nothing to the next one. The list does not help, as such machines stay listed, and nor does leading on, as the leaders are ended from outside.

Change: since when recovery has been open is stored under a key of its own, dw/recovery, by leaders that are held up by silent machines. After a lease and the 75 s for which one leader would have kept lost machines, the silent ones that hold it up are released. A recovery that is not held up costs neither a read nor a write.

Why it holds: the stored time decides when a machine is released, never when a task is unbound; that needs the cloud's answer, as before.

--- a/src/main/java/org/dewreach/controller/LeadershipTerm.java
+++ b/src/main/java/org/dewreach/controller/LeadershipTerm.java
@@ -7,6 +7,7 @@
 import org.dewreach.membership.FleetManager;
 import org.dewreach.membership.HandoverPolicy;
 import org.dewreach.membership.RecoveryTracker;
+import org.dewreach.membership.StalledRecovery;
 import org.dewreach.model.Job;
 import org.dewreach.model.JobPhase;
 import org.dewreach.model.Machine;
@@ -24,6 +25,7 @@
 import org.dewreach.state.LeaderlessJobImporter;
 import org.dewreach.state.MachineRegistry;
 import org.dewreach.state.MachineTypeCatalog;
+import org.dewreach.state.RecoveryClock;
 import org.dewreach.store.CommitQueue;
 import org.dewreach.wire.Heartbeat;
 import org.dewreach.wire.HttpStatus;
@@ -59,6 +61,8 @@
   private final MachineRegistry registry;
   private final ClusterStateLoader loader;
   private final RecoveryTracker recovery;
+  private final RecoveryClock recoveryClock;
+  private final StalledRecovery stalledRecovery;
   private final CancellationGate cancellationGate;
   private final HeartbeatHandler heartbeatHandler;
   private final LeaderlessJobImporter jobImporter;
@@ -71,6 +75,7 @@
   private final TermReporter reporter;
   private Phase phase = Phase.LOADING;
   private boolean hadAuthority;
+  private long authoritySince;
   private long nextProgressAt;
 
   /**
@@ -97,6 +102,8 @@
     this.registry = components.registry;
     this.loader = components.loader;
     this.recovery = components.recovery;
+    this.recoveryClock = components.recoveryClock;
+    this.stalledRecovery = components.stalledRecovery;
     this.cancellationGate = components.cancellationGate;
     this.heartbeatHandler = components.heartbeatHandler;
     this.jobImporter = components.jobImporter;
@@ -159,6 +166,7 @@
     delegations.onAuthorityGained(nowMicros);
     if (!hadAuthority) {
       hadAuthority = true;
+      authoritySince = nowMicros;
       // Guards against leases counted from before an earlier leader's last response: under grants
       // it continues until this one may act.
       fleet.onAuthorityGained(nowMicros);
@@ -166,6 +174,11 @@
     if (phase == Phase.RECOVERING) {
       updateRecovery(nowMicros);
     }
+    if (phase == Phase.RECOVERING) {
+      stalledRecovery.tick(authoritySince, nowMicros);
+    } else {
+      recoveryClock.noteFinished(nowMicros);
+    }
     catalog.saveIfRefreshed(queue, nowMicros);
     registry.tick(nowMicros);
     jobImporter.tick(nowMicros);
@@ -302,6 +315,7 @@
     }
     become(Phase.CLOSED);
     loader.close();
+    recoveryClock.close();
     jobImporter.close();
     fleet.close();
     commandSender.close();
--- a/src/main/java/org/dewreach/membership/FailureDetector.java
+++ b/src/main/java/org/dewreach/membership/FailureDetector.java
@@ -17,7 +17,7 @@
  */
 final class FailureDetector {
   /** A lost machine may come back for this long. A default of this project. */
-  private static final long LOST_MACHINE_KEPT_MICROS = 75_000_000;
+  static final long LOST_MACHINE_KEPT_MICROS = 75_000_000;
 
   private static final int QUARTERS = 4;
 
--- a/src/main/java/org/dewreach/membership/FleetManager.java
+++ b/src/main/java/org/dewreach/membership/FleetManager.java
@@ -127,6 +127,16 @@
     return partitionDetector.partitionedFromWorkers();
   }
 
+  /** True if a heartbeat of the machine has not come. */
+  boolean missedHeartbeat(Machine machine, long nowMicros) {
+    return failureDetector.missedHeartbeat(machine, nowMicros);
+  }
+
+  /** Marks a machine to be released with the next request. */
+  void markForRelease(Machine machine, String reason, long nowMicros) {
+    scaleIn.markForRelease(machine, reason, nowMicros);
+  }
+
   /** True if the machine was released: it may still be listed, or heard of, for a while. */
   public boolean isReleased(String name) {
     return scaleIn.isReleased(name);
--- /dev/null
+++ b/src/main/java/org/dewreach/membership/StalledRecovery.java
@@ -0,0 +1,73 @@
+package org.dewreach.membership;
+
+import java.util.List;
+import org.dewreach.config.Settings;
+import org.dewreach.model.Machine;
+import org.dewreach.state.ClusterState;
+import org.dewreach.state.RecoveryClock;
+
+/**
+ * Ends a recovery that has been open for too long over several terms: the machines that hold it up
+ * are released, which proves what their silence does not.
+ *
+ * <p>A machine that hangs or is cut off stays listed. Each leader waits for its lease from its own
+ * beginning, so leaders that end again and again would wait for it without end. One that stays
+ * never gets here: it gives such machines up by their leases.
+ */
+public final class StalledRecovery {
+  private static final long CHECK_INTERVAL_MICROS = 500_000;
+
+  private final ClusterState clusterState;
+  private final FleetManager fleet;
+  private final RecoveryClock clock;
+  private final long patienceMicros;
+  private long nextCheckAt;
+
+  /** For one term. */
+  public StalledRecovery(
+      ClusterState clusterState, FleetManager fleet, RecoveryClock clock, Settings settings) {
+    this.clusterState = clusterState;
+    this.fleet = fleet;
+    this.clock = clock;
+    // As long as one leader would have kept them.
+    this.patienceMicros =
+        settings.workers().leaseMicros() + FailureDetector.LOST_MACHINE_KEPT_MICROS;
+  }
+
+  /**
+   * Notes that the recovery is held up, if it is, and releases the machines that hold it up if that
+   * has lasted for too long.
+   *
+   * @param recoveringSince when this term began to recover
+   */
+  public void tick(long recoveringSince, long nowMicros) {
+    if (nowMicros < nextCheckAt) {
+      return;
+    }
+    nextCheckAt = nowMicros + CHECK_INTERVAL_MICROS;
+    List<Machine> holders = silentHolders(nowMicros);
+    if (!holders.isEmpty()) {
+      clock.noteOpen(recoveringSince, nowMicros);
+    }
+    if (clock.openMicros(nowMicros) >= patienceMicros) {
+      holders.stream()
+          .filter(machine -> fleet.isSilent(machine, nowMicros))
+          .forEach(
+              machine -> fleet.markForRelease(machine, "not heard for several terms", nowMicros));
+    }
+  }
+
+  private List<Machine> silentHolders(long nowMicros) {
+    return clusterState.machines().values().stream()
+        .filter(StalledRecovery::holdsUpRecovery)
+        .filter(machine -> fleet.missedHeartbeat(machine, nowMicros))
+        .toList();
+  }
+
+  private static boolean holdsUpRecovery(Machine machine) {
+    return switch (machine.phase()) {
+      case UNKNOWN, UNCONFIRMED -> machine.commandedByEarlierTerm() && !machine.reconciled();
+      case BOOTING, UP, LOST, DRAINING, TERMINATING, GONE -> false;
+    };
+  }
+}
--- a/src/main/java/org/dewreach/store/Keys.java
+++ b/src/main/java/org/dewreach/store/Keys.java
@@ -20,6 +20,9 @@
   /** Prefix of the pages of machines that were rented, or may have been given commands. */
   public static final String MACHINE_PAGES = "dw/machines/";
 
+  /** A recovery that is open over several terms: since when. */
+  public static final String RECOVERY = "dw/recovery";
+
   private Keys() {}
 
   /** Key of a job that was accepted without a leader. */
