Recovery: a log line tells what keeps it open; the term asks its components

While a term recovers, nothing is rented; the log named neither the machines that hold it up nor what the cloud's list said of them. Each 5 s of a recovery now gives one line: since when, counted over terms too, how many machines are unheard, unconfirmed or being released, how old the last whole list is and how many it lacked, how many tasks wait.

LeadershipTerm copied 18 fields from TermComponents; it keeps the components instead.

--- a/src/main/java/org/dewreach/controller/LeadershipTerm.java
+++ b/src/main/java/org/dewreach/controller/LeadershipTerm.java
@@ -1,32 +1,19 @@
 package org.dewreach.controller;
 
 import java.util.ArrayList;
-import org.dewreach.heartbeat.DirectCommandSender;
-import org.dewreach.heartbeat.HeartbeatHandler;
-import org.dewreach.leadership.LeaseDelegations;
-import org.dewreach.membership.FleetManager;
-import org.dewreach.membership.HandoverPolicy;
-import org.dewreach.membership.RecoveryTracker;
-import org.dewreach.membership.StalledRecovery;
+import java.util.List;
 import org.dewreach.model.Job;
 import org.dewreach.model.JobPhase;
 import org.dewreach.model.Machine;
 import org.dewreach.peer.DelegationRequest;
 import org.dewreach.peer.DelegationResponse;
 import org.dewreach.port.Outbox;
-import org.dewreach.request.JobRequestHandler;
 import org.dewreach.request.Responder;
 import org.dewreach.request.RetryReason;
 import org.dewreach.request.UserRequest;
-import org.dewreach.state.ClusterState;
-import org.dewreach.state.ClusterStateLoader;
+import org.dewreach.scheduling.UnplacedTasks;
 import org.dewreach.state.DurabilityListener;
-import org.dewreach.state.JobRecordWriter;
-import org.dewreach.state.LeaderlessJobImporter;
-import org.dewreach.state.MachineRegistry;
 import org.dewreach.state.MachineTypeCatalog;
-import org.dewreach.state.RecoveryClock;
-import org.dewreach.store.CommitQueue;
 import org.dewreach.wire.Heartbeat;
 import org.dewreach.wire.HttpStatus;
 import org.dewreach.wire.JobKind;
@@ -55,24 +42,7 @@
   private final Outbox outbox;
   private final MachineTypeCatalog catalog;
   private final LeadershipControl control;
-  private final ClusterState clusterState;
-  private final CommitQueue queue;
-  private final JobRecordWriter recordWriter;
-  private final MachineRegistry registry;
-  private final ClusterStateLoader loader;
-  private final RecoveryTracker recovery;
-  private final RecoveryClock recoveryClock;
-  private final StalledRecovery stalledRecovery;
-  private final CancellationGate cancellationGate;
-  private final HeartbeatHandler heartbeatHandler;
-  private final LeaderlessJobImporter jobImporter;
-  private final JobRequestHandler requestHandler;
-  private final LeaseDelegations delegations;
-  private final FleetManager fleet;
-  private final HandoverPolicy handoverPolicy;
-  private final PlacementLoop placement;
-  private final DirectCommandSender commandSender;
-  private final TermReporter reporter;
+  private final TermComponents components;
   private Phase phase = Phase.LOADING;
   private boolean hadAuthority;
   private long authoritySince;
@@ -88,7 +58,7 @@
     this.outbox = services.outbox();
     this.catalog = services.catalog();
     this.control = control;
-    TermComponents components =
+    this.components =
         new TermComponents(
             number,
             services,
@@ -96,24 +66,6 @@
             new TermComponents.Callbacks(
                 this, this::onImportFailed, this::onDirectReply, () -> phase == Phase.CLOSED),
             nowMicros);
-    this.clusterState = components.clusterState;
-    this.queue = components.queue;
-    this.recordWriter = components.recordWriter;
-    this.registry = components.registry;
-    this.loader = components.loader;
-    this.recovery = components.recovery;
-    this.recoveryClock = components.recoveryClock;
-    this.stalledRecovery = components.stalledRecovery;
-    this.cancellationGate = components.cancellationGate;
-    this.heartbeatHandler = components.heartbeatHandler;
-    this.jobImporter = components.jobImporter;
-    this.requestHandler = components.requestHandler;
-    this.delegations = components.delegations;
-    this.fleet = components.fleet;
-    this.handoverPolicy = components.handoverPolicy;
-    this.placement = components.placement;
-    this.commandSender = components.commandSender;
-    this.reporter = components.reporter;
   }
 
   private void become(Phase next) {
@@ -134,8 +86,8 @@
     if (phase == Phase.CLOSED) {
       return;
     }
-    queue.tick(nowMicros);
-    requestHandler.tick(nowMicros);
+    components.queue.tick(nowMicros);
+    components.requestHandler.tick(nowMicros);
     if (phase == Phase.LOADING && !continueLoading(nowMicros)) {
       return;
     }
@@ -146,46 +98,46 @@
 
   /** Continues to load the cluster state; true once it is loaded. */
   private boolean continueLoading(long nowMicros) {
-    loader.tick(nowMicros);
-    if (!loader.done()) {
+    components.loader.tick(nowMicros);
+    if (!components.loader.done()) {
       return false;
     }
     become(Phase.RECOVERING);
     LOG.info(
         "cluster state loaded: term={} jobs={} machines={}",
         number,
-        clusterState.jobs().size(),
-        clusterState.machines().size());
-    recovery.start();
+        components.clusterState.jobs().size(),
+        components.clusterState.machines().size());
+    components.recovery.start();
     updateRecovery(nowMicros);
     return true;
   }
 
   /** Does what only a leader with authority may do. */
   private void actAsLeader(long nowMicros) {
-    delegations.onAuthorityGained(nowMicros);
+    components.delegations.onAuthorityGained(nowMicros);
     if (!hadAuthority) {
       hadAuthority = true;
       authoritySince = nowMicros;
       // Guards against leases counted from before an earlier leader's last response: under grants
       // it continues until this one may act.
-      fleet.onAuthorityGained(nowMicros);
+      components.fleet.onAuthorityGained(nowMicros);
     }
     if (phase == Phase.RECOVERING) {
       updateRecovery(nowMicros);
     }
     if (phase == Phase.RECOVERING) {
-      stalledRecovery.tick(authoritySince, nowMicros);
+      components.stalledRecovery.tick(authoritySince, nowMicros);
     } else {
-      recoveryClock.noteFinished(nowMicros);
+      components.recoveryClock.noteFinished(nowMicros);
     }
-    catalog.saveIfRefreshed(queue, nowMicros);
-    registry.tick(nowMicros);
-    jobImporter.tick(nowMicros);
-    placement.tick(phase == Phase.ACTIVE, nowMicros);
-    boolean everyTaskKnown = phase == Phase.ACTIVE || clusterState.machines().isEmpty();
-    fleet.tick(nowMicros, placement.unplaced(), everyTaskKnown);
-    if (handoverPolicy.shouldGiveUpLead(nowMicros)) {
+    catalog.saveIfRefreshed(components.queue, nowMicros);
+    components.registry.tick(nowMicros);
+    components.jobImporter.tick(nowMicros);
+    components.placement.tick(phase == Phase.ACTIVE, nowMicros);
+    boolean everyTaskKnown = phase == Phase.ACTIVE || components.clusterState.machines().isEmpty();
+    components.fleet.tick(nowMicros, components.placement.unplaced(), everyTaskKnown);
+    if (components.handoverPolicy.shouldGiveUpLead(nowMicros)) {
       // Guards against a leader that keeps its key and receives no heartbeat until all leases
       // expire.
       LOG.info("no heartbeats reach this node, giving up the lead: term={}", number);
@@ -196,50 +148,58 @@
       nextProgressAt = nowMicros + PROGRESS_INTERVAL_MICROS;
       advanceJobs(nowMicros);
     }
-    reporter.tick(placement.unplaced(), nowMicros);
+    reportProgress(nowMicros);
+  }
+
+  private void reportProgress(long nowMicros) {
+    List<UnplacedTasks> unplaced = components.placement.unplaced();
+    components.reporter.tick(unplaced, nowMicros);
+    if (phase == Phase.RECOVERING) {
+      components.recoveryReporter.tick(authoritySince, unplaced, nowMicros);
+    }
   }
 
   /** Numbers for operators. */
   TermStats stats() {
-    return reporter.stats(phase, placement.unplaced());
+    return components.reporter.stats(phase, components.placement.unplaced());
   }
 
   private void updateRecovery(long nowMicros) {
-    if (recovery.update(nowMicros)) {
+    if (components.recovery.update(nowMicros)) {
       become(Phase.ACTIVE);
-      recordWriter.allowFinalizingCancelled();
-      clusterState.requestPlacement();
+      components.recordWriter.allowFinalizingCancelled();
+      components.clusterState.requestPlacement();
     }
   }
 
   private void advanceJobs(long nowMicros) {
-    for (Job job : new ArrayList<>(clusterState.jobs().values())) {
-      recordWriter.writeIfDue(job, nowMicros);
+    for (Job job : new ArrayList<>(components.clusterState.jobs().values())) {
+      components.recordWriter.writeIfDue(job, nowMicros);
       if (phase == Phase.CLOSED) {
         return;
       }
       if (job.phase() == JobPhase.CANCEL_REQUESTED) {
-        requestHandler.onStillStopping(job, nowMicros);
+        components.requestHandler.onStillStopping(job, nowMicros);
       }
     }
   }
 
   /** Responds to a node that asks for how long it may renew leases should it lose contact. */
   DelegationResponse onDelegationRequest(DelegationRequest request, long nowMicros) {
-    String zone = delegations.zoneOf(request.node());
-    return delegations.onRequest(
+    String zone = components.delegations.zoneOf(request.node());
+    return components.delegations.onRequest(
         request, zone == null ? 0 : delegableMicros(zone, nowMicros), nowMicros);
   }
 
   /** Until when this node itself may renew its zone's leases, should it lose its authority. */
   long delegateToSelf(String zone, long nowMicros) {
     long until = nowMicros + delegableMicros(zone, nowMicros);
-    delegations.delegateToSelf(until);
+    components.delegations.delegateToSelf(until);
     return until;
   }
 
   private long delegableMicros(String zone, long nowMicros) {
-    return loaded() ? cancellationGate.delegableMicros(zone, nowMicros) : 0;
+    return loaded() ? components.cancellationGate.delegableMicros(zone, nowMicros) : 0;
   }
 
   /** Handles a heartbeat that this node received as the leader. */
@@ -251,13 +211,13 @@
       outbox.respond(requestId, HttpStatus.UNAVAILABLE, null);
       return;
     }
-    heartbeatHandler.onHeartbeat(requestId, heartbeat, nowMicros);
+    components.heartbeatHandler.onHeartbeat(requestId, heartbeat, nowMicros);
   }
 
   /** Handles the reply to a direct command; no commands are sent back, and no lease is renewed. */
   private void onDirectReply(Machine machine, Heartbeat heartbeat, long nowMicros) {
     if (phase != Phase.CLOSED && control.hasAuthority(nowMicros)) {
-      heartbeatHandler.onDirectReply(machine, heartbeat, nowMicros);
+      components.heartbeatHandler.onDirectReply(machine, heartbeat, nowMicros);
     }
   }
 
@@ -266,7 +226,7 @@
     if (!loaded() || !control.hasAuthority(nowMicros)) {
       responder.respondRetry(RetryReason.NO_AUTHORITY);
     } else {
-      requestHandler.handle(request, responder, nowMicros);
+      components.requestHandler.handle(request, responder, nowMicros);
     }
   }
 
@@ -274,32 +234,32 @@
   public void onAccepted(Job job, long nowMicros) {
     LOG.info("job accepted: job={} tasks={}", job.id(), job.spec().tasks());
     if (job.spec().jobKind() == JobKind.SERVICE) {
-      clusterState.serviceRate().arrived(job.spec(), nowMicros);
+      components.clusterState.serviceRate().arrived(job.spec(), nowMicros);
     }
-    clusterState.requestPlacement();
-    requestHandler.onAccepted(job);
+    components.clusterState.requestPlacement();
+    components.requestHandler.onAccepted(job);
   }
 
   private void onImportFailed(String jobId) {
-    requestHandler.onImportFailed(jobId);
+    components.requestHandler.onImportFailed(jobId);
   }
 
   @Override
   public void onCancelled(Job job, long nowMicros) {
     LOG.info("job cancelled: job={}", job.id());
-    requestHandler.onCancelled(job);
+    components.requestHandler.onCancelled(job);
   }
 
   @Override
   public void onEnded(Job job, long nowMicros) {
     LOG.info("job ended: job={} state={}", job.id(), job.finalState());
-    clusterState.removeJob(job);
-    requestHandler.onEnded(job);
+    components.clusterState.removeJob(job);
+    components.requestHandler.onEnded(job);
   }
 
   @Override
   public void onMachinesRegistered(long nowMicros) {
-    clusterState.requestPlacement();
+    components.clusterState.requestPlacement();
   }
 
   @Override
@@ -314,12 +274,12 @@
       return;
     }
     become(Phase.CLOSED);
-    loader.close();
-    recoveryClock.close();
-    jobImporter.close();
-    fleet.close();
-    commandSender.close();
-    queue.close(nowMicros);
-    requestHandler.close();
+    components.loader.close();
+    components.recoveryClock.close();
+    components.jobImporter.close();
+    components.fleet.close();
+    components.commandSender.close();
+    components.queue.close(nowMicros);
+    components.requestHandler.close();
   }
 }
--- a/src/main/java/org/dewreach/controller/TermComponents.java
+++ b/src/main/java/org/dewreach/controller/TermComponents.java
@@ -64,6 +64,7 @@
   final HeartbeatHandler heartbeatHandler;
   final PlacementLoop placement;
   final TermReporter reporter;
+  final RecoveryReporter recoveryReporter;
 
   TermComponents(
       long term,
@@ -105,6 +106,7 @@
     this.heartbeatHandler = newHeartbeatHandler(callbacks.closed());
     this.placement = newPlacementLoop();
     this.reporter = new TermReporter(term, clusterState, queue);
+    this.recoveryReporter = new RecoveryReporter(term, clusterState, fleet, recoveryClock);
   }
 
   private CommitQueue newCommitQueue(LeadershipControl control) {
--- a/src/main/java/org/dewreach/membership/CloudReconciler.java
+++ b/src/main/java/org/dewreach/membership/CloudReconciler.java
@@ -54,6 +54,7 @@
   /** Machines that are gone, as the last pages that cover them tell. */
   private final Set<String> unlisted = new HashSet<>();
 
+  private long listedAt = -1;
   private boolean requestInFlight;
   private long nextListingAt;
   private boolean closed;
@@ -93,6 +94,16 @@
     requestPage(null, nowMicros);
   }
 
+  /** When the list was last read to its end, or -1. */
+  long listedAt() {
+    return listedAt;
+  }
+
+  /** How many known machines the list lacked although it should have them. */
+  int unlistedMachines() {
+    return unlisted.size();
+  }
+
   private void requestPage(String afterMachine, long nowMicros) {
     requestInFlight = true;
     cloud.listMachines(
@@ -121,6 +132,9 @@
   }
 
   private void requestNextPage(MachineListResult.Page page, long nowMicros) {
+    if (!page.more()) {
+      listedAt = nowMicros;
+    }
     List<ListedMachine> machines = page.machines();
     if (page.more() && !machines.isEmpty()) {
       requestPage(machines.get(machines.size() - 1).name(), nowMicros);
--- a/src/main/java/org/dewreach/membership/FleetManager.java
+++ b/src/main/java/org/dewreach/membership/FleetManager.java
@@ -142,6 +142,16 @@
     return scaleIn.isReleased(name);
   }
 
+  /** When the cloud's list of machines was last read to its end, or -1. */
+  public long listedAt() {
+    return cloudReconciler.listedAt();
+  }
+
+  /** How many known machines the cloud's list lacked although it should have them. */
+  public int unlistedMachines() {
+    return cloudReconciler.unlistedMachines();
+  }
+
   /** Typical time until a machine rented now is of use. */
   public long typicalBootMicros() {
     return scaleInPolicy.typicalBootMicros();
