--- a/src/main/java/org/dewreach/leadership/PeerContacts.java
+++ b/src/main/java/org/dewreach/leadership/PeerContacts.java
@@ -1,11 +1,11 @@
 package org.dewreach.leadership;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Supplier;
 import org.dewreach.config.Settings;
 import org.dewreach.peer.ContactRequest;
 import org.dewreach.peer.ContactResponse;
@@ -64,16 +64,19 @@
   /**
    * Asks all others again if that is due.
    *
-   * @param unheard the machines that this leader does not hear
+   * @param unheard the machines that this leader does not hear, listed only when they are needed
    * @param withinMicros for how long a heartbeat counts
    */
-  public void ask(Collection<String> unheard, long withinMicros, long nowMicros) {
-    if (nowMicros < nextRequestAt || unheard.isEmpty()) {
+  public void ask(Supplier<List<String>> unheard, long withinMicros, long nowMicros) {
+    if (nowMicros < nextRequestAt) {
       return;
     }
     nextRequestAt = nowMicros + REQUEST_INTERVAL_MICROS;
-    ContactRequest request = new ContactRequest(sample(List.copyOf(unheard)), withinMicros);
-    others.forEach(other -> ask(other, request));
+    List<String> machines = sample(unheard.get());
+    if (!machines.isEmpty()) {
+      ContactRequest request = new ContactRequest(machines, withinMicros);
+      others.forEach(other -> ask(other, request));
+    }
   }
 
   private void ask(String other, ContactRequest request) {
--- a/src/main/java/org/dewreach/membership/HandoverPolicy.java
+++ b/src/main/java/org/dewreach/membership/HandoverPolicy.java
@@ -55,8 +55,12 @@
   /** True if this node had better let another one lead. */
   public boolean shouldGiveUpLead(long nowMicros) {
     FleetHealth health = fleet.health();
-    if (health.nearlyAllUnreachableOrLost()) {
-      peers.ask(unheard(health), contactMicros(), nowMicros);
+    boolean suspect = health.nearlyAllUnreachableOrLost();
+    if (!suspect && phase == Phase.REACHING_WORKERS) {
+      return false;
+    }
+    if (suspect) {
+      peers.ask(() -> unheard(health), contactMicros(), nowMicros);
     }
     PeerContacts.Report report = peers.report(nowMicros);
     if (phase == Phase.REACHING_WORKERS) {
