--- a/src/test/java/org/dewreach/sim/FleetLossTest.java
+++ b/src/test/java/org/dewreach/sim/FleetLossTest.java
@@ -20,13 +20,13 @@
  */
 class FleetLossTest {
   /** When the fleet is lost. */
-  private static final long LOSS = 60 * SECOND;
+  static final long LOSS = 60 * SECOND;
 
   /** Two heartbeats and a margin until silence shows, and two rounds. */
-  private static final long NOTICED = 8 * SECOND;
+  static final long NOTICED = 8 * SECOND;
 
   /** A new leader is elected and has loaded the cluster state. */
-  private static final long HANDOVER = 4 * SECOND;
+  static final long HANDOVER = 4 * SECOND;
 
   /** The lease of 15.25 s with drift and margin, and the first answers of the other controllers. */
   private static final long LEASES_OVER = 18 * SECOND;
@@ -37,10 +37,16 @@
   /** Twice the boot time and 10 s until a machine that does not come up is replaced. */
   private static final long REPLACEMENT = 20 * SECOND;
 
-  private static final long BOUND = NOTICED + HANDOVER + LEASES_OVER + NEW_MACHINES + REPLACEMENT;
+  static final long BOUND = NOTICED + HANDOVER + LEASES_OVER + NEW_MACHINES + REPLACEMENT;
 
   /** A lease, and as long as lost machines are kept: 75 s. */
-  private static final long KEPT_OVER_TERMS = LEASES_OVER + 75 * SECOND;
+  static final long KEPT_OVER_TERMS = LEASES_OVER + 75 * SECOND;
+
+  /** With the others out of reach two controllers lead for their turn before one leads on. */
+  static final long TURNS = 2 * (HANDOVER + 16 * SECOND);
+
+  /** Fewer silent machines are no partition. */
+  static final int LEAST_MACHINES = 3;
 
   /** So many tasks show that work goes on; about one job of several tasks arrives each 3 s. */
   private static final int SOME_TASKS = 10;
@@ -52,10 +58,16 @@
     return simulation;
   }
 
-  private static Simulation busyUntilLoss(long seed) {
+  static Simulation busyUntil(long seed, long untilMicros) {
     Simulation simulation = busySimulation(seed);
-    simulation.runUntil(LOSS);
-    assertTrue(simulation.workers().size() >= 3, simulation.workers().size() + " machines");
+    simulation.runUntil(untilMicros);
+    return simulation;
+  }
+
+  private static Simulation busyUntilLoss(long seed) {
+    Simulation simulation = busyUntil(seed, LOSS);
+    int machines = simulation.workers().size();
+    assertTrue(machines >= LEAST_MACHINES, machines + " machines");
     return simulation;
   }
 
@@ -76,7 +88,7 @@
   }
 
   /** Some tasks start within the bound, and others in the 60 s after it. */
-  private static void assertWorkGoesOn(Simulation simulation, long from, long boundMicros) {
+  static void assertWorkGoesOn(Simulation simulation, long from, long boundMicros) {
     simulation.runUntil(from);
     int before = simulation.checker.started;
     simulation.runUntil(from + boundMicros);
@@ -89,7 +101,7 @@
   }
 
   /** What else happens at the loss, and for how long it holds everything up. */
-  private enum Circumstance {
+  enum Circumstance {
     NONE(0, simulation -> {}),
     LEADER_CRASHES(0, FleetLossTest::crashLeader),
     LEADERS_CHANGE(0, simulation -> simulation.faults.changeLeaders(12, 12 * SECOND)),
@@ -146,8 +158,7 @@
     Simulation simulation = busyUntilLoss(seed);
     circumstance.begin.accept(simulation);
     hangAll(simulation, 600 * SECOND);
-    // With the others out of reach each controller leads for its turn before one leads on.
-    long turns = circumstance == Circumstance.PEERS_CUT ? 2 * (HANDOVER + 16 * SECOND) : 0;
+    long turns = circumstance == Circumstance.PEERS_CUT ? TURNS : 0;
     assertWorkGoesOn(simulation, LOSS, BOUND + turns);
   }
 
