Tasks on machines that are being released are freed once the lease is over

What callers saw: jobs with tasks on lost machines rested for as long as the cloud confirmed no return, although the workers' leases were over and there was room.

Cause: a machine that was marked for release was not looked at any more; only the cloud's answer freed its tasks. One or two silent machines had that all along; since machines that are listed no more are released, a whole zone could have it.

Change: the end of the lease frees them too, by the same reckoning as for any machine. StalledRecovery asks RecoveryTracker which machines hold up the recovery in place of deciding it a second time.

Why it holds: a worker whose lease is over has killed its tasks; a machine that is being released and still sends heartbeats is answered, which counts in the reckoning.

--- a/src/main/java/org/dewreach/controller/TermComponents.java
+++ b/src/main/java/org/dewreach/controller/TermComponents.java
@@ -88,7 +88,7 @@
     this.handoverPolicy = newHandoverPolicy();
     this.recovery = new RecoveryTracker(clusterState, fleet);
     this.recoveryClock = new RecoveryClock(services.store(), queue, services.wallOffsetMicros());
-    this.stalledRecovery = new StalledRecovery(clusterState, fleet, recoveryClock, settings);
+    this.stalledRecovery = new StalledRecovery(recovery, fleet, recoveryClock, settings);
     this.cancellationGate = new CancellationGate(clusterState, settings, delegations, recovery);
     this.recordWriter = new JobRecordWriter(queue, cancellationGate, callbacks.records());
     this.loader = newLoader();
--- a/src/main/java/org/dewreach/membership/MachineHealthMonitor.java
+++ b/src/main/java/org/dewreach/membership/MachineHealthMonitor.java
@@ -43,6 +43,9 @@
     health.overdue().forEach(machine -> machine.heartbeats().markUnreachable());
     partitionDetector.onRound(health, detector.authorityMicros(nowMicros));
     releaseStragglers(health, nowMicros);
+    for (Machine machine : health.in(MachineCondition.LEAVING)) {
+      freeTasksOnceLeaseExpired(machine, nowMicros);
+    }
     for (Machine machine : health.in(MachineCondition.SILENT)) {
       if (machine.phase() != MachinePhase.TERMINATING) {
         onSilent(machine, health.fewUnreachable(), nowMicros);
@@ -78,6 +81,16 @@
     }
   }
 
+  /**
+   * Guards against tasks that wait for the cloud to confirm a release, as long as its interface is
+   * down: the end of the lease proves the same.
+   */
+  private void freeTasksOnceLeaseExpired(Machine machine, long nowMicros) {
+    if (!machine.tasks().isEmpty() && detector.leaseExpired(machine, nowMicros)) {
+      clusterState.unbindAll(machine, "lease expired", nowMicros);
+    }
+  }
+
   /** Guards against renting a whole zone anew that is back within a minute, images and all. */
   private void markLost(Machine machine, long nowMicros) {
     clusterState.changePhase(machine, MachinePhase.LOST, "lease expired", nowMicros);
--- a/src/main/java/org/dewreach/membership/RecoveryTracker.java
+++ b/src/main/java/org/dewreach/membership/RecoveryTracker.java
@@ -1,6 +1,7 @@
 package org.dewreach.membership;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -57,6 +58,11 @@
     return unreconciled.isEmpty();
   }
 
+  /** The machines of earlier terms that are not reconciled, as of the last update. */
+  List<Machine> unreconciled() {
+    return Collections.unmodifiableList(unreconciled);
+  }
+
   /** True if tasks of earlier terms may run on the machine that this term does not know of. */
   private boolean mayRunUnknownTasks(Machine machine, long nowMicros) {
     // One that is in no record was never given commands: only a late copy of a heartbeat may have
--- a/src/main/java/org/dewreach/membership/StalledRecovery.java
+++ b/src/main/java/org/dewreach/membership/StalledRecovery.java
@@ -3,7 +3,7 @@
 import java.util.List;
 import org.dewreach.config.Settings;
 import org.dewreach.model.Machine;
-import org.dewreach.state.ClusterState;
+import org.dewreach.model.MachinePhase;
 import org.dewreach.state.RecoveryClock;
 
 /**
@@ -17,7 +17,7 @@
 public final class StalledRecovery {
   private static final long CHECK_INTERVAL_MICROS = 500_000;
 
-  private final ClusterState clusterState;
+  private final RecoveryTracker recovery;
   private final FleetManager fleet;
   private final RecoveryClock clock;
   private final long patienceMicros;
@@ -25,8 +25,8 @@
 
   /** For one term. */
   public StalledRecovery(
-      ClusterState clusterState, FleetManager fleet, RecoveryClock clock, Settings settings) {
-    this.clusterState = clusterState;
+      RecoveryTracker recovery, FleetManager fleet, RecoveryClock clock, Settings settings) {
+    this.recovery = recovery;
     this.fleet = fleet;
     this.clock = clock;
     // As long as one leader would have kept them.
@@ -58,16 +58,9 @@
   }
 
   private List<Machine> silentHolders(long nowMicros) {
-    return clusterState.machines().values().stream()
-        .filter(StalledRecovery::holdsUpRecovery)
+    return recovery.unreconciled().stream()
+        .filter(machine -> machine.phase() != MachinePhase.TERMINATING)
         .filter(machine -> fleet.missedHeartbeat(machine, nowMicros))
         .toList();
   }
-
-  private static boolean holdsUpRecovery(Machine machine) {
-    return switch (machine.phase()) {
-      case UNKNOWN, UNCONFIRMED -> machine.commandedByEarlierTerm() && !machine.reconciled();
-      case BOOTING, UP, LOST, DRAINING, TERMINATING, GONE -> false;
-    };
-  }
 }
--- a/src/test/java/org/dewreach/membership/MachineHealthMonitorTest.java
+++ b/src/test/java/org/dewreach/membership/MachineHealthMonitorTest.java
@@ -109,4 +109,20 @@
     assertPhase(MachinePhase.TERMINATING, unheard);
     assertPhase(MachinePhase.UP, heard);
   }
+
+  @Test
+  void tasksOfAMachineThatIsBeingReleasedAreFreedOnceItsLeaseIsOver() {
+    List<Machine> silent = up("silent", 1);
+    List<Machine> heard = up("heard", 5);
+    Job job = cluster.submitted(JobSpecBuilder.array("req-1").build());
+    cluster.bind(job, 0, silent.get(0), TaskPhase.RUNNING, 0);
+    heartbeats(heard, 10 * S);
+    monitor.checkMachines(10 * S);
+    assertPhase(MachinePhase.TERMINATING, silent);
+    assertTrue(job.hasBound());
+    heartbeats(heard, 11 * S);
+    monitor.checkMachines(11 * S);
+    assertPhase(MachinePhase.TERMINATING, silent);
+    assertFalse(job.hasBound(), "whether or not the cloud confirms the release");
+  }
 }
--- a/src/test/java/org/dewreach/sim/FleetLossTest.java
+++ b/src/test/java/org/dewreach/sim/FleetLossTest.java
@@ -5,7 +5,9 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.DisplayName;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -191,6 +193,45 @@
     assertWorkGoesOn(simulation, LOSS, BOUND);
   }
 
+  /** The list shows that the machines are gone, and no release is confirmed. */
+  @ParameterizedTest(name = "zone only: {0}, seed {1}")
+  @CsvSource({
+    "false, 1",
+    "false, 2",
+    "false, 5",
+    "false, 7",
+    "true, 1",
+    "true, 2",
+    "true, 5",
+    "true, 7"
+  })
+  @DisplayName("What ran on machines that were taken back goes on though none can be returned")
+  void noReturnIsConfirmed(boolean zoneOnly, long seed) {
+    Simulation simulation = busyUntilLoss(seed);
+    simulation.cloud.noReturnsUntil = LOSS + 200 * SECOND;
+    List<SimWorker> lost =
+        simulation.workers().stream()
+            .filter(worker -> !zoneOnly || worker.zone.equals("a"))
+            .toList();
+    List<String> interrupted =
+        lost.stream()
+            .flatMap(worker -> worker.running().stream())
+            .map(task -> task.substring(0, task.indexOf('/')))
+            .distinct()
+            .toList();
+    Map<String, Integer> startsBefore = new HashMap<>();
+    interrupted.forEach(id -> startsBefore.put(id, simulation.checker.startsOf(id)));
+    terminate(simulation, lost);
+    simulation.runUntil(LOSS + BOUND + 20 * SECOND);
+    assertNoViolations(simulation);
+    List<String> resting =
+        simulation.users.openJobs().stream()
+            .filter(startsBefore::containsKey)
+            .filter(id -> simulation.checker.startsOf(id) <= startsBefore.get(id))
+            .toList();
+    assertEquals(List.of(), resting, "jobs that did not go on");
+  }
+
   @ParameterizedTest(name = "seed {0}")
   @ValueSource(longs = {1, 2, 5})
   @DisplayName("All spot machines taken back at once hold up nobody")
--- a/src/test/java/org/dewreach/sim/SimCloud.java
+++ b/src/test/java/org/dewreach/sim/SimCloud.java
@@ -43,6 +43,9 @@
   /** A list describes a time up to twice this long ago, drawn anew for each page. */
   long listLagMicros;
 
+  /** Until when no machine can be returned. */
+  long noReturnsUntil;
+
   /** Until when no machine is granted. */
   long noCapacityUntil;
 
@@ -115,13 +118,14 @@
   }
 
   void handle(String path, JsonNode body, Reply reply) {
-    if (simulation.clock.now() < outageUntil) {
+    boolean returns = path.equals("/rentals/return");
+    if (simulation.clock.now() < (returns ? Math.max(outageUntil, noReturnsUntil) : outageUntil)) {
       reply.send(503, Codec.map().put("error", "trouble"));
     } else if (path.equals("/catalog")) {
       reply.send(200, MachineType.catalogNode(TYPES));
     } else if (path.equals("/rentals")) {
       rent(body, reply);
-    } else if (path.equals("/rentals/return")) {
+    } else if (returns) {
       for (JsonNode host : body.path("hosts")) {
         boolean boots = hosts.containsKey(host.asText()) && !workers.containsKey(host.asText());
         returnedBooting += boots ? 1 : 0;
