Recovery over terms: a machine that has just gone is left alone

A machine whose release the cloud confirmed since the recovery tracker's last update, up to 50 ms before, was marked for release again, which is no change of state that exists: the controller failed.

--- a/src/main/java/org/dewreach/membership/StalledRecovery.java
+++ b/src/main/java/org/dewreach/membership/StalledRecovery.java
@@ -59,8 +59,13 @@
 
   private List<Machine> silentHolders(long nowMicros) {
     return recovery.unreconciled().stream()
-        .filter(machine -> machine.phase() != MachinePhase.TERMINATING)
+        .filter(StalledRecovery::neitherReleasedNorGone)
         .filter(machine -> fleet.missedHeartbeat(machine, nowMicros))
         .toList();
   }
+
+  /** The tracker's list may be a moment old: the cloud's answer may have come since. */
+  private static boolean neitherReleasedNorGone(Machine machine) {
+    return machine.phase() == MachinePhase.UNKNOWN || machine.phase() == MachinePhase.UNCONFIRMED;
+  }
 }
--- /dev/null
+++ b/src/test/java/org/dewreach/membership/StalledRecoveryTest.java
@@ -0,0 +1,112 @@
+package org.dewreach.membership;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.dewreach.cloud.CloudClient;
+import org.dewreach.config.Settings;
+import org.dewreach.config.Tuning;
+import org.dewreach.controller.SettingsFixture;
+import org.dewreach.leadership.LeaseDelegations;
+import org.dewreach.model.Machine;
+import org.dewreach.model.MachinePhase;
+import org.dewreach.state.MachineRegistry;
+import org.dewreach.state.MachineTypeCatalog;
+import org.dewreach.state.RecoveryClock;
+import org.dewreach.store.CommitQueue;
+import org.dewreach.store.Keys;
+import org.dewreach.store.Precondition;
+import org.dewreach.store.TokenBucket;
+import org.dewreach.testing.ClusterFixture;
+import org.dewreach.testing.KeyValueStoreFixture;
+import org.dewreach.wire.Codec;
+import org.dewreach.wire.MachineType;
+import org.junit.jupiter.api.Test;
+
+/** Which machines are released when a recovery stays open over terms: {@link StalledRecovery}. */
+class StalledRecoveryTest {
+  private static final long S = 1_000_000;
+  private static final MachineType TYPE = ClusterFixture.type("box", 8, 32, 0);
+
+  /** Heartbeats come each second, leases last 10 s: a machine is silent after 4.5 s. */
+  private static final Settings SETTINGS = SettingsFixture.twoNodes(10 * S);
+
+  private final KeyValueStoreFixture fixture = new KeyValueStoreFixture();
+  private final ClusterFixture cluster = new ClusterFixture(SETTINGS.teams());
+  private final CloudClient cloud = new CloudClient(fixture.outbox(), 100);
+  private final CommitQueue queue =
+      new CommitQueue(
+          fixture.store(),
+          new Precondition(Keys.LEADER, ClusterFixture.TERM),
+          24,
+          new TokenBucket(100, 100),
+          () -> {});
+  private final RecoveryClock clock = new RecoveryClock(fixture.store(), queue, 0);
+  private final FleetManager fleet =
+      new FleetManager(
+          ClusterFixture.TERM,
+          cluster.state(),
+          new MachineRegistry(null, 8192, 0, null),
+          new LeaseDelegations(ClusterFixture.TERM, SETTINGS, () -> Long.MIN_VALUE),
+          cloud,
+          new MachineTypeCatalog(fixture.store(), cloud),
+          SETTINGS,
+          Tuning.DEFAULT,
+          0,
+          0);
+  private final RecoveryTracker recovery = new RecoveryTracker(cluster.state(), fleet);
+  private final StalledRecovery stalledRecovery =
+      new StalledRecovery(recovery, fleet, clock, SETTINGS);
+
+  private Machine unheard(String name) {
+    return cluster.add(ClusterFixture.newMachine(name, TYPE, false, MachinePhase.UNKNOWN));
+  }
+
+  /** An earlier term noted 5 s ago that recovery has been open for this long. */
+  private void openFor(long micros) {
+    clock.noteOpen(0, 0);
+    JsonNode value = Codec.map().put("since", -micros).put("open", -5 * S);
+    JsonNode entry =
+        Codec.map().put("path", Keys.RECOVERY).put("stamp", 70).put("hold", 0).set("data", value);
+    fixture.reply(fixture.onlyRequest("/keys/dw/recovery"), 200, entry, 0);
+  }
+
+  @Test
+  void onlyMachinesThatAreSilentAndHoldUpTheRecoveryAreReleased() {
+    Machine silent = unheard("silent");
+    Machine heard = unheard("heard");
+    recovery.start();
+    recovery.update(0);
+    openFor(85 * S);
+    heard.heartbeats().recordHeartbeat(3 * S);
+    stalledRecovery.tick(0, 4_500_000);
+    assertEquals(MachinePhase.UNKNOWN, silent.phase(), "not silent for long enough");
+    stalledRecovery.tick(0, 5 * S);
+    assertEquals(MachinePhase.TERMINATING, silent.phase());
+    assertEquals(MachinePhase.UNKNOWN, heard.phase());
+  }
+
+  @Test
+  void nothingIsReleasedBeforeOneLeaderWouldHaveDoneIt() {
+    Machine silent = unheard("silent");
+    recovery.start();
+    recovery.update(0);
+    openFor(79 * S);
+    stalledRecovery.tick(0, 5 * S);
+    assertEquals(MachinePhase.UNKNOWN, silent.phase());
+    stalledRecovery.tick(0, 6 * S);
+    assertEquals(MachinePhase.TERMINATING, silent.phase());
+  }
+
+  /** Red when all that the tracker had at its last update was marked: the controller failed. */
+  @Test
+  void aMachineThatHasGoneSinceTheTrackersLastUpdateIsLeftAlone() {
+    Machine gone = unheard("gone");
+    recovery.start();
+    recovery.update(0);
+    openFor(85 * S);
+    cluster.state().removeMachine(gone, "released", 5 * S);
+    stalledRecovery.tick(0, 5 * S);
+    assertEquals(MachinePhase.GONE, gone.phase());
+  }
+}
