Membership: what workers do by themselves is timed in one place

The time a worker spends on a controller that does not answer stood in PartitionDetector and HandoverPolicy, the longest interval between heartbeats in PartitionDetector and FailureDetector; WorkerTiming has both now. The sum of waiting tasks was written a second time for the new log line. The comment of CloudReconciler had not followed when the end of a lease became proof as well.

--- a/src/main/java/org/dewreach/controller/RecoveryReporter.java
+++ b/src/main/java/org/dewreach/controller/RecoveryReporter.java
@@ -55,7 +55,7 @@
         count(MachinePhase.TERMINATING),
         listAgeMs(nowMicros),
         fleet.unlistedMachines(),
-        unplaced.stream().mapToInt(UnplacedTasks::tasks).sum());
+        TermReporter.unplacedTaskCount(unplaced));
   }
 
   private long count(MachinePhase phase) {
--- a/src/main/java/org/dewreach/controller/TermReporter.java
+++ b/src/main/java/org/dewreach/controller/TermReporter.java
@@ -76,7 +76,8 @@
         .sum();
   }
 
-  private static int unplacedTaskCount(List<UnplacedTasks> unplaced) {
+  /** How many tasks found no place. */
+  static int unplacedTaskCount(List<UnplacedTasks> unplaced) {
     return unplaced.stream().mapToInt(UnplacedTasks::tasks).sum();
   }
 }
--- a/src/main/java/org/dewreach/membership/CloudReconciler.java
+++ b/src/main/java/org/dewreach/membership/CloudReconciler.java
@@ -25,7 +25,7 @@
  * <p>A machine that the cloud took away would otherwise be waited for until its worker's lease has
  * expired, and each new leader counts that anew. What the list says holds for every leader at once.
  * It is not taken for proof: the machine is released, and its tasks are placed elsewhere once the
- * cloud has confirmed that.
+ * cloud has confirmed that or the lease has expired.
  */
 final class CloudReconciler {
   private static final Logger LOG = LoggerFactory.getLogger(CloudReconciler.class);
--- a/src/main/java/org/dewreach/membership/FailureDetector.java
+++ b/src/main/java/org/dewreach/membership/FailureDetector.java
@@ -24,12 +24,6 @@
   /** A machine is silent after this many quarters of its heartbeat interval, or later. */
   private static final int SILENT_AFTER_HEARTBEAT_QUARTERS = 13;
 
-  /** Heartbeats come within this many quarters of their interval. */
-  private static final int LONGEST_INTERVAL_QUARTERS = 5;
-
-  /** A worker pauses this long before it tries another controller. */
-  private static final long RETRY_PAUSE_MICROS = 1_000_000;
-
   private static final int PERCENT = 100;
 
   /** A machine is silent after this part of its lease, or later. */
@@ -84,8 +78,9 @@
 
   /** True if a heartbeat has not come, with one failed attempt at another controller before it. */
   boolean missedHeartbeat(Machine machine, long nowMicros) {
-    long longestInterval = settings.reportMicros() * LONGEST_INTERVAL_QUARTERS / QUARTERS;
-    return sinceHeartbeatMicros(machine, nowMicros) > longestInterval + RETRY_PAUSE_MICROS;
+    long expectedWithin =
+        WorkerTiming.longestIntervalMicros(settings) + WorkerTiming.RETRY_PAUSE_MICROS;
+    return sinceHeartbeatMicros(machine, nowMicros) > expectedWithin;
   }
 
   /** Time after which a heartbeat is overdue. */
--- a/src/main/java/org/dewreach/membership/HandoverPolicy.java
+++ b/src/main/java/org/dewreach/membership/HandoverPolicy.java
@@ -21,9 +21,6 @@
 public final class HandoverPolicy {
   private static final Logger LOG = LoggerFactory.getLogger(HandoverPolicy.class);
 
-  /** A worker waits this long for an answer, with the pause, before it tries another controller. */
-  private static final long NODE_RETRY_MICROS = 5_000_000;
-
   /** How a leader stands to the workers. */
   enum Phase {
     /** Enough workers are heard and take answers. */
@@ -99,7 +96,7 @@
   private boolean heardNowhere(FleetHealth health, PeerContacts.Report report, long nowMicros) {
     return report == PeerContacts.Report.HEARD_NOWHERE
         && !health.mostlyMissesReplies()
-        && nowMicros - suspectedSince >= NODE_RETRY_MICROS;
+        && nowMicros - suspectedSince >= WorkerTiming.NODE_RETRY_MICROS;
   }
 
   private void become(Phase next, FleetHealth health, PeerContacts.Report report) {
@@ -126,6 +123,6 @@
 
   /** A worker that is led by a node out of its reach is heard by another this often, or oftener. */
   private long contactMicros() {
-    return 2 * settings.workers().reportMicros() + NODE_RETRY_MICROS;
+    return 2 * settings.workers().reportMicros() + WorkerTiming.NODE_RETRY_MICROS;
   }
 }
--- a/src/main/java/org/dewreach/membership/PartitionDetector.java
+++ b/src/main/java/org/dewreach/membership/PartitionDetector.java
@@ -7,16 +7,8 @@
   /** This many rounds in a row have to show a partition. */
   private static final int MIN_ROUNDS = 2;
 
-  /** What a worker spends on a node that does not answer, with the pause before the next. */
-  private static final long NODE_RETRY_MICROS = 5_000_000;
-
   private static final long DISCOVERY_MARGIN_MICROS = 1_000_000;
 
-  /** A worker's heartbeat may have left this many quarters of its interval before. */
-  private static final int LAST_HEARTBEAT_QUARTERS = 5;
-
-  private static final int QUARTERS = 4;
-
   private final Settings settings;
   private int roundsInARow;
 
@@ -54,7 +46,8 @@
    * found it: nobody led for ten seconds then, and nearly all leases ran out.
    */
   private long leaderDiscoveryMicros() {
-    long lastHeartbeat = settings.workers().reportMicros() * LAST_HEARTBEAT_QUARTERS / QUARTERS;
-    return lastHeartbeat + settings.members().size() * NODE_RETRY_MICROS + DISCOVERY_MARGIN_MICROS;
+    return WorkerTiming.longestIntervalMicros(settings.workers())
+        + settings.members().size() * WorkerTiming.NODE_RETRY_MICROS
+        + DISCOVERY_MARGIN_MICROS;
   }
 }
