--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -505,9 +505,15 @@
 
 
 def free_port():
-    with socket.socket() as s:
-        s.bind(("127.0.0.1", 0))
-        return s.getsockname()[1]
+    """Returns a free port below the range from which outgoing connections take theirs."""
+    while True:
+        port = random.randrange(12000, 32000)
+        with socket.socket() as s:
+            try:
+                s.bind(("127.0.0.1", port))
+                return port
+            except OSError:
+                pass
 
 
 class Node:
