--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -49,7 +49,8 @@
 class StateService:
     """The key-value store, as the protocol page describes it."""
 
-    def __init__(self, rps, write_rps, value_kb, txn_ops):
+    def __init__(self, note, rps, write_rps, value_kb, txn_ops):
+        self.note = note
         self.keys = {}
         self.holds = {}
         self.revision = 100
@@ -159,6 +160,13 @@
                     pass
 
     async def _commit(self, body):
+        status, answer = await self._execute(body)
+        self.note("transaction", status=status,
+                  changes=["+" + op["put"] if "put" in op else "-" + op["remove"]
+                           for op in body.get("then", [])])
+        return status, answer
+
+    async def _execute(self, body):
         when, then = body.get("when", []), body.get("then", [])
         if len(then) > self.txn_ops or len(when) > 4 * self.txn_ops or json_size(body) > 64 * 1024:
             self.rejected += 1
@@ -432,6 +440,9 @@
                 self.client.close()
             self.client = http1.Client(address)
         status, body, _ = await self.client.call("POST", "/hello", self._report(), 4.0)
+        if status != 200:
+            self.world.note("report not taken", host=self.machine.name,
+                            node=self.world.nodes[self.node].name, status=status, answer=body)
         while self.paused:
             await asyncio.sleep(0.02)
         if time.monotonic() - sent > 4.0:
@@ -454,9 +465,6 @@
             await asyncio.sleep(1.0)
         self.changed = True
 
-    def name(self):
-        return self.machine.name
-
 
 class StateProxy:
     """Stands between one controller and the state service, at connection level.
@@ -594,7 +602,8 @@
 
     async def start_services(self, boot_s=1.5):
         s = self.site
-        self.state = StateService(s["rps"], s["write_rps"], s["value_kb"], s["txn_ops"])
+        self.state = StateService(
+            self.note, s["rps"], s["write_rps"], s["value_kb"], s["txn_ops"])
         await self.state.start()
         self.cloud = Cloud(self, s["builds"], s["cloud_rps"], s["list_lag_s"], boot_s)
         await self.cloud.start()
@@ -752,6 +761,14 @@
     async def main():
         world = World(case_folder, site)
         code = 2
+
+        def stop():
+            for node in world.nodes:
+                node.kill()
+            os._exit(2)
+
+        for sig in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(sig, stop)
         try:
             broken = await asyncio.wait_for(scenario(world, trouble), limit_s)
             code, text = (1, broken) if broken else (0, "the rule held")
