--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -211,6 +211,7 @@
         self.world, self.builds, self.lag, self.boot_s = world, builds, lag_s, boot_s
         self.limit = Bucket(rps, 2 * rps)
         self.machines, self.hires, self.number = {}, {}, 0
+        self.capacity = None  # how many machines there are to rent; None: any number
 
     async def start(self):
         self.server, self.port = await http1.serve(self.handle)
@@ -244,9 +245,15 @@
             return 200, {"builds": self.builds}
         if method == "POST" and path == "/rentals":
             if body["hire"] not in self.hires:
+                count = min(50, body["count"])
+                if self.capacity is not None:
+                    rented = sum(m.gone_at is None for m in self.machines.values())
+                    count = min(count, self.capacity - rented)
+                if count <= 0:
+                    return 503, {"error": "no capacity"}
                 self.hires[body["hire"]] = [
                     self.rent(body["build"], body["site"], body["loaners"]).name
-                    for _ in range(min(50, body["count"]))]
+                    for _ in range(count)]
                 self.world.note("rented", hire=body["hire"], hosts=self.hires[body["hire"]])
             return 200, {"hosts": self.hires[body["hire"]]}
         if method == "POST" and path == "/rentals/return":
