--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -761,9 +761,11 @@
         self.temp.cleanup()
 
 
-def play(case_folder, site, scenario, limit_s=115):
-    """Runs a scenario; exits with 1 if it returns a broken rule, 0 if not, 2 if it cannot run."""
-    trouble = os.environ.get("TROUBLE", "1") != "0"
+def play(case_folder, site, scenario, trouble, limit_s=115):
+    """Runs a scenario; exits with 1 if it returns a broken rule, 0 if not, 2 if it cannot run.
+
+    Without `trouble` the scenario does the same without the disruption.
+    """
 
     async def main():
         world = World(case_folder, site)
