--- a/review/lib/sites.py
+++ b/review/lib/sites.py
@@ -35,3 +35,6 @@
          "fetch_gb_per_s": 1.0, "price": 1.38, "spot_price": 0.37, "ready_s": 50,
          "sites": ["kenitra-room", "fes-room"]}],
 }
+
+# The page of the change: the same limits of the controllers' machines, and more work.
+GAUGES_NEXT = dict(GAUGES, next={"write_rps": 28.0, "value_kb": 2.0, "txn_ops": 10})
--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -264,6 +264,7 @@
 class Piece:
     def __init__(self, attempt):
         self.attempt, self.standing, self.cause, self.since = attempt, "pulling", None, None
+        self.fails = False
 
 
 class Worker:
@@ -275,6 +276,7 @@
         self.pieces, self.results, self.images = {}, set(), {}
         self.lease_from = time.monotonic()
         self.changed, self.ended, self.paused = True, False, False
+        self.sick = False  # a sick machine fails every task that it starts
         self.node = random.randrange(len(world.nodes))
         self.client = None
 
@@ -396,8 +398,12 @@
                         self._exit(name, piece, "done")
                         continue
                     piece.standing, piece.since = "running", now
+                    piece.fails = self.sick
                     self.changed = True
                     self.world.began(name, piece, self.machine)
+                elif piece.standing == "running" and piece.fails and now - piece.since >= 1.0:
+                    self.world.note("task fails", piece=name, host=self.machine.name)
+                    self._exit(name, piece, "error")
                 elif piece.standing == "running" and job["shape"] != "service" \
                         and now - piece.since >= job["expected_s"]:
                     self._exit(name, piece, "done")
@@ -677,6 +683,16 @@
             turn += 1
             await asyncio.sleep(max(1.0, min(30.0, float(headers.get("retry-after", 1)))))
 
+    async def cancel(self, uid, for_s=60.0):
+        """Cancels as the page says; returns the last status."""
+        until = time.monotonic() + for_s
+        while True:
+            status, _, headers = await self.ask(
+                random.choice(self.nodes), "POST", "/work/%s/abort" % uid)
+            if status == 200 or time.monotonic() > until:
+                return status
+            await asyncio.sleep(max(1.0, min(30.0, float(headers.get("retry-after", 1)))))
+
     async def poll(self, uid, node=None):
         status, answer, _ = await self.ask(
             node or random.choice(self.nodes), "GET", "/work/" + uid, timeout=2.0)
