Review: each case reads TROUBLE itself, and leaves more time

The load balancer no longer counts a node's failed probes from before it was healthy, and the users of cases 4 and 8 ask every 4.6 s, so a run ends well before its limit: with ten runs begun at once, case 8 had come to that limit and exited with 2.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -10,7 +10,10 @@
 import polls  # noqa: E402
 import standins  # noqa: E402
 
-CUT_S = 98.0
+# With TROUBLE=0 everything is done but the disruption.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+
+ASKED_S = 93.0  # 21 questions, the last 92 s after the first
 
 
 async def case(env):
@@ -27,10 +30,12 @@
     await env.wait_for("all services run",
                        lambda: all(env.runs(p.uid + "/0") for p in asked), 30)
     leader = env.leader()
-    if env.trouble:
+    if TROUBLE:
         env.record(f"{leader.name}, which leads, is cut from the state service and the others")
         env.cut_from_peers_and_state(leader)
-    ends = env.record.now() + CUT_S
+    # The cut leader may still answer until its lease is over.
+    await asyncio.sleep(3.0)
+    ends = env.record.now() + ASKED_S
     await asyncio.gather(*(p.run(ends) for p in asked))
     return not polls.forgotten(env, asked)
 
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -9,6 +9,9 @@
 
 import standins  # noqa: E402
 
+# With TROUBLE=0 everything is done but the disruption.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+
 RULE_S = 90.0  # "no job is left waiting for 90 s while a machine that fits has room"
 
 
@@ -21,7 +24,7 @@
     mistaken = ("req-000002", "req-000003")
     for uid in mistaken:
         # Jobs "submitted with a mistake" fail on every machine until their user cancels them.
-        env.behaviour[uid] = {"error_after_s": 0.5} if env.trouble else {"run_s": 0.5}
+        env.behaviour[uid] = {"error_after_s": 0.5} if TROUBLE else {"run_s": 0.5}
         await env.user().submit(standins.job(
             uid, "arrears-scan", "member-desk", "sweep", "normal", 1, 1.0, 1.6, 15.0))
     await env.wait_for("both jobs ran once", lambda: all(
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -9,6 +9,9 @@
 
 import standins  # noqa: E402
 
+# With TROUBLE=0 everything is done but the disruption.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+
 RULE_S = 90.0  # "no job is left waiting for 90 s while a machine that fits has room"
 TASKS = 6
 
@@ -27,7 +30,7 @@
         waiting, "arrears-scan", "member-desk", "sweep", "normal", TASKS, 1.0, 1.6, 15.0))
     running = lambda: sum(env.runs(f"{waiting}/{i}") for i in range(TASKS))
     await env.wait_for("the array runs", lambda: running() == TASKS, 10)
-    if env.trouble:
+    if TROUBLE:
         urgent = [f"req-{i:06d}" for i in (3, 4, 5)]
         env.record("ledger-live comes several times as often")
         await asyncio.gather(*(env.user().submit(service(uid)) for uid in urgent))
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -9,6 +9,9 @@
 
 import standins  # noqa: E402
 
+# With TROUBLE=0 everything is done but the disruption.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+
 RULE_S = 90.0  # "no job is left waiting for 90 s while a machine that fits has room"
 
 VAULT_BOX = {"name": "vault-box", "cpus": 16.0, "cards": 0, "memory_gb": 32.0, "cache_gb": 40.0,
@@ -35,7 +38,7 @@
         loaners=True))
     begun = lambda: {piece for _, piece, _ in env.starts if piece.startswith(waiting)}
     await env.wait_for("two tasks of the array run", lambda: len(begun()) >= 2, 20)
-    if env.trouble:
+    if TROUBLE:
         env.record("services come several times as often for a moment")
         await services(env, user, 6, 2)
     await env.wait_for("the begun tasks are over", lambda: not any(
--- a/review/standins-2/polls.py
+++ b/review/standins-2/polls.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-POLL_S = 5.0
+POLL_S = 4.6  # "users poll about every 5 s"
 RULE_S = 90.0  # rule `forgotten`: "for 90 s all polls for it fail while most others are answered"
 
 
--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -554,6 +554,7 @@
             await asyncio.sleep(1.0)
 
     def judge(self, backend, good):
+        """Judges a node by its latest probes, those since its state last changed."""
         backend.last.append(good)
         last, now = list(backend.last), time.monotonic()
         if backend.healthy:
@@ -571,6 +572,8 @@
         backend.healthy, backend.changed_at = healthy, time.monotonic()
         backend.ever = backend.ever or healthy
         backend.reset_done = healthy
+        # Probes from before the change say nothing about a node that has just started.
+        backend.last.clear()
         self.env.record(
             f"load balancer: {backend.node.name} {'healthy' if healthy else 'unhealthy'}")
 
@@ -671,7 +674,6 @@
         self.state = StateService(self.record, 200.0, 50.0, 8.0, 24)
         self.cloud = Cloud(self, self.types, capacity, 2.0, 8.0, boot_s)
         self.user_nodes = {}
-        self.trouble = os.environ.get("TROUBLE", "1") != "0"
 
     def on_user_connection(self, port, node):
         self.user_nodes[port] = node
