Quarantine: cancelled jobs are no evidence, and it ends by time

A cancelled job never fails again, and the drain releases empty machines only, so the machine neither took tasks nor went back.

Change: a cancellation withdraws the job's failures from all machines. A quarantine of a machine that still runs something becomes a probation after 45 s, with one new task at a time, which ends after 30 s more. FailureHistory has named states; what shows a faulty machine is there too.

--- a/src/main/java/org/dewreach/heartbeat/TaskReconciler.java
+++ b/src/main/java/org/dewreach/heartbeat/TaskReconciler.java
@@ -110,7 +110,7 @@
     switch (cause) {
       case DONE -> {
         clusterState.markDone(job, task.index());
-        quarantine.onTaskSucceeded(machine);
+        quarantine.onTaskSucceeded(machine, nowMicros);
       }
       case ERROR -> {
         LOG.info("task failed: task={} machine={}", task.name(), machine.name());
--- a/src/main/java/org/dewreach/membership/MachineDrainer.java
+++ b/src/main/java/org/dewreach/membership/MachineDrainer.java
@@ -3,18 +3,23 @@
 import java.util.List;
 import org.dewreach.autoscaling.ScaleInExecutor;
 import org.dewreach.config.Settings;
+import org.dewreach.model.FailureHistory;
 import org.dewreach.model.Machine;
 import org.dewreach.model.MachinePhase;
 import org.dewreach.model.Task;
 import org.dewreach.model.TaskPhase;
 import org.dewreach.state.ClusterState;
 import org.dewreach.wire.JobKind;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Drains machines that the cloud reclaims or that are faulty, and releases them once they are
  * empty.
  */
 public final class MachineDrainer {
+  private static final Logger LOG = LoggerFactory.getLogger(MachineDrainer.class);
+
   /**
    * Estimates of run times are often wrong by half, so a task is stopped early only if its estimate
    * exceeds the time left by this factor.
@@ -25,10 +30,16 @@
   private static final long QUARANTINE_GRACE_MICROS = 8_000_000;
 
   /**
-   * A quarantined machine keeps its tasks for this long while a job that failed there is still
+   * A quarantined machine is not drained for this long while a job that failed there is still
    * retried elsewhere.
    */
-  private static final long MAX_QUARANTINE_MICROS = 60_000_000;
+  private static final long MAX_RETRY_WAIT_MICROS = 60_000_000;
+
+  /** After this time, a quarantined machine that still runs tasks is put on probation. */
+  private static final long PROBATION_AFTER_MICROS = 45_000_000;
+
+  /** With {@link #PROBATION_AFTER_MICROS}, well below the longest wait beside free capacity. */
+  private static final long PROBATION_MICROS = 30_000_000;
 
   private final ClusterState clusterState;
   private final Settings settings;
@@ -47,6 +58,7 @@
       if (machine.phase() == MachinePhase.TERMINATING) {
         continue;
       }
+      limitQuarantine(machine, nowMicros);
       if (quarantineConfirmed(machine, nowMicros)) {
         drain(machine, "quarantined", nowMicros);
       } else if (machine.reclaimAt() >= 0) {
@@ -55,6 +67,36 @@
     }
   }
 
+  /**
+   * Ends a quarantine by time: it becomes a probation, which ends as well unless a task fails.
+   *
+   * <p>Guards against a machine that neither receives tasks nor is released, because a replica runs
+   * there that never ends. An empty machine is released instead.
+   */
+  private void limitQuarantine(Machine machine, long nowMicros) {
+    FailureHistory failures = machine.failures();
+    long lastedMicros = nowMicros - failures.stateSince();
+    switch (failures.state()) {
+      case QUARANTINED -> {
+        if (lastedMicros > PROBATION_AFTER_MICROS && !machine.tasks().isEmpty()) {
+          LOG.info("machine probation begins: machine={}", machine.name());
+          failures.beginProbation(nowMicros);
+          clusterState.resumePlacementOn(machine, nowMicros);
+        }
+      }
+      case PROBATION -> {
+        if (lastedMicros > PROBATION_MICROS) {
+          LOG.info("machine probation ended: machine={}", machine.name());
+          failures.clear(nowMicros);
+          clusterState.requestPlacement();
+        }
+      }
+      case NONE -> {
+        // not quarantined
+      }
+    }
+  }
+
   private void drain(Machine machine, String reason, long nowMicros) {
     if (machine.phase() == MachinePhase.UP) {
       clusterState.changePhase(machine, MachinePhase.DRAINING, reason, nowMicros);
@@ -109,8 +151,8 @@
         machine.failures().jobs().stream()
             .map(clusterState.jobs()::get)
             .anyMatch(job -> job != null && job.backoff().failedOnce());
-    return nowMicros - machine.failures().quarantinedAt()
-        > (retriedElsewhere ? MAX_QUARANTINE_MICROS : QUARANTINE_GRACE_MICROS);
+    return nowMicros - machine.failures().stateSince()
+        > (retriedElsewhere ? MAX_RETRY_WAIT_MICROS : QUARANTINE_GRACE_MICROS);
   }
 
   /** True if a task has far more left to run, by its owner's estimate, than the time available. */
--- a/src/main/java/org/dewreach/model/FailureHistory.java
+++ b/src/main/java/org/dewreach/model/FailureHistory.java
@@ -1,70 +1,127 @@
 package org.dewreach.model;
 
-import java.util.HashSet;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Set;
 
 /**
  * The task failures on a machine since a task last completed there, and whether the machine is
- * quarantined.
+ * quarantined for them.
  */
 public final class FailureHistory {
-  private final Set<String> jobs = new HashSet<>();
-  private int failureCount;
-  private long quarantinedAt = -1;
-
-  FailureHistory() {}
+  /** A machine is presumed faulty after tasks of this many jobs have failed there in a row. */
+  private static final int FAULTY_AFTER_JOBS = 2;
 
   /**
-   * Returns the ids of the jobs whose tasks failed on the machine since a task last completed
-   * there. The set is modifiable: a job that turns out to fail on other machines too is removed.
+   * A machine is also presumed faulty after this many tasks of one job have failed there in a row
+   * if the job completes tasks elsewhere.
    */
+  private static final int FAULTY_AFTER_TASKS = 3;
+
+  /** The failures of one job on the machine. */
+  private record JobFailures(int tasks, boolean completesElsewhere) {
+    static final JobFailures NONE = new JobFailures(0, false);
+
+    JobFailures plusOne(boolean nowCompletesElsewhere) {
+      return new JobFailures(tasks + 1, nowCompletesElsewhere);
+    }
+
+    boolean showFaultyMachine() {
+      return tasks >= FAULTY_AFTER_TASKS && completesElsewhere;
+    }
+  }
+
+  private final Map<String, JobFailures> failuresByJob = new HashMap<>();
+  private QuarantineState state = QuarantineState.NONE;
+  private long stateSince;
+
+  FailureHistory() {}
+
+  private void changeState(QuarantineState next, long nowMicros) {
+    state = next;
+    stateSince = nowMicros;
+  }
+
+  /** Returns whether the machine is quarantined. */
+  public QuarantineState state() {
+    return state;
+  }
+
+  /** Returns when the machine was quarantined, or its probation began. */
+  public long stateSince() {
+    return stateSince;
+  }
+
+  /** True if the machine is presumed faulty, so that no new tasks are placed on it. */
+  public boolean quarantined() {
+    return state == QuarantineState.QUARANTINED;
+  }
+
+  /** Returns the ids of the jobs whose failures count against the machine. */
   public Set<String> jobs() {
-    return jobs;
+    return Collections.unmodifiableSet(failuresByJob.keySet());
+  }
+
+  /** Returns the number of task failures that count against the machine. */
+  public int failureCount() {
+    return failuresByJob.values().stream().mapToInt(JobFailures::tasks).sum();
   }
 
   /**
-   * Returns the number of task failures on the machine since a task last completed there or a
-   * quarantine of the machine ended.
+   * Records that a task of the job failed on the machine.
+   *
+   * @param completesElsewhere true if other tasks of the job have completed
    */
-  public int failureCount() {
-    return failureCount;
+  public void recordFailure(String jobId, boolean completesElsewhere) {
+    JobFailures before = failuresByJob.getOrDefault(jobId, JobFailures.NONE);
+    failuresByJob.put(jobId, before.plusOne(completesElsewhere));
   }
 
-  /** Records that a task of the job failed on the machine. */
-  public void recordFailure(String jobId) {
-    jobs.add(jobId);
-    failureCount++;
+  /** True if the recorded failures show that the machine rather than a job is faulty. */
+  public boolean showFaultyMachine() {
+    return failuresByJob.size() >= FAULTY_AFTER_JOBS
+        || failuresByJob.values().stream().anyMatch(JobFailures::showFaultyMachine);
   }
 
   /**
-   * Clears the failures, because a task completed on the machine: they are no longer evidence that
-   * the machine is faulty.
+   * Records that a task completed on the machine. The earlier failures no longer count, unless the
+   * machine is quarantined: the task may have been started before the machine became faulty.
    */
-  public void recordSuccess() {
-    failureCount = 0;
-    jobs.clear();
+  public void recordSuccess(long nowMicros) {
+    if (!quarantined()) {
+      failuresByJob.clear();
+      changeState(QuarantineState.NONE, nowMicros);
+    }
   }
 
-  /** True if the machine is presumed faulty, so that no new tasks are placed on it. */
-  public boolean quarantined() {
-    return quarantinedAt >= 0;
-  }
-
-  /** Returns when the machine was quarantined, or -1 if it is not quarantined. */
-  public long quarantinedAt() {
-    return quarantinedAt;
+  /**
+   * Withdraws the failures of a job, which is itself at fault or was cancelled.
+   *
+   * @return true if the machine was quarantined or on probation because of them
+   */
+  public boolean withdraw(String jobId, long nowMicros) {
+    boolean counted = failuresByJob.remove(jobId) != null;
+    if (!counted || state == QuarantineState.NONE || showFaultyMachine()) {
+      return false;
+    }
+    changeState(QuarantineState.NONE, nowMicros);
+    return true;
   }
 
   /** Quarantines the machine from now on. */
   public void quarantine(long nowMicros) {
-    quarantinedAt = nowMicros;
+    changeState(QuarantineState.QUARANTINED, nowMicros);
   }
 
-  /**
-   * Ends the quarantine, because the jobs that failed on the machine failed on other machines too.
-   */
-  public void endQuarantine() {
-    quarantinedAt = -1;
-    failureCount = 0;
+  /** Ends the quarantine for a probation. The failures still count. */
+  public void beginProbation(long nowMicros) {
+    changeState(QuarantineState.PROBATION, nowMicros);
+  }
+
+  /** Ends the quarantine or probation. The failures no longer count. */
+  public void clear(long nowMicros) {
+    failuresByJob.clear();
+    changeState(QuarantineState.NONE, nowMicros);
   }
 }
--- a/src/main/java/org/dewreach/model/Machine.java
+++ b/src/main/java/org/dewreach/model/Machine.java
@@ -325,10 +325,23 @@
   public boolean schedulableOnceUncordoned() {
     return phase == MachinePhase.UP
         && commandable
-        && !quarantined()
+        && mayTryTasks()
         && reclaimAt < 0
         && !heartbeats.unreachable()
         && !heartbeats.missesResponses()
         && heartbeats.restartCheck() != RestartCheck.CONFIRMED;
   }
+
+  /**
+   * True unless the machine is quarantined, or on probation with a new task that has yet to show
+   * whether the machine works.
+   */
+  private boolean mayTryTasks() {
+    return switch (failures.state()) {
+      case NONE -> true;
+      case QUARANTINED -> false;
+      case PROBATION ->
+          tasks.values().stream().noneMatch(task -> task.boundAt() >= failures.stateSince());
+    };
+  }
 }
--- a/src/main/java/org/dewreach/model/RetryBackoff.java
+++ b/src/main/java/org/dewreach/model/RetryBackoff.java
@@ -33,6 +33,7 @@
   private final Set<String> failedOn = new HashSet<>();
 
   private int failures;
+  private boolean everFailed;
   private long notBefore;
   private long waitingSince = -1;
 
@@ -62,6 +63,7 @@
     if (failsRepeatedly() || !avoidedMachines(nowMicros).contains(machine)) {
       failures++;
     }
+    everFailed = true;
     avoidMachine(machine, nowMicros + MACHINE_AVOIDANCE_MICROS);
     failedOn.add(machine);
     if (failsRepeatedly()) {
@@ -106,6 +108,11 @@
     return failures > 0;
   }
 
+  /** True if a task of the job has ever failed in this term. */
+  public boolean hasEverFailed() {
+    return everFailed;
+  }
+
   /**
    * True if the job failed on one machine and has since neither completed a task nor failed on
    * another machine.
--- a/src/main/java/org/dewreach/request/CancellationHandler.java
+++ b/src/main/java/org/dewreach/request/CancellationHandler.java
@@ -89,6 +89,7 @@
     // the user gets a response only when the tasks are gone.
     List.copyOf(job.boundTasks().values())
         .forEach(task -> clusterState.stop(task, "job cancelled", nowMicros));
+    clusterState.withdrawFailures(job, "the job is cancelled", nowMicros);
     clusterState.requestPlacement();
     recordWriter.writeIfDue(job, nowMicros);
   }
--- a/src/main/java/org/dewreach/state/ClusterState.java
+++ b/src/main/java/org/dewreach/state/ClusterState.java
@@ -203,6 +203,42 @@
     requestPlacement();
   }
 
+  /**
+   * Withdraws a job's failures from all machines, since the job is at fault or was cancelled: they
+   * are no evidence against the machines. Ends the quarantines that rested on them.
+   *
+   * <p>Guards against healthy machines that stay quarantined because jobs with an error of their
+   * own ran there.
+   */
+  public void withdrawFailures(Job job, String reason, long nowMicros) {
+    if (!job.backoff().hasEverFailed()) {
+      return;
+    }
+    for (Machine machine : machines.values()) {
+      if (machine.failures().withdraw(job.id(), nowMicros)) {
+        LOG.info(
+            "machine quarantine ended: machine={} failing_job={} reason=\"{}\"",
+            machine.name(),
+            job.id(),
+            reason);
+        resumePlacementOn(machine, nowMicros);
+      }
+    }
+  }
+
+  /**
+   * Makes a machine available for tasks again if it drains only because it was quarantined.
+   *
+   * <p>Guards against a machine whose quarantine ends after its drain has begun: it received no
+   * tasks, and was never released while a replica ran there.
+   */
+  public void resumePlacementOn(Machine machine, long nowMicros) {
+    if (machine.phase() == MachinePhase.DRAINING && machine.reclaimAt() < 0) {
+      changePhase(machine, MachinePhase.UP, "quarantine ended", nowMicros);
+    }
+    requestPlacement();
+  }
+
   /** Removes a machine that is proven gone, and unbinds its tasks. */
   public void removeMachine(Machine machine, String reason, long nowMicros) {
     unbindAll(machine, reason, nowMicros);
--- a/src/test/java/org/dewreach/heartbeat/HeartbeatReconcilerTest.java
+++ b/src/test/java/org/dewreach/heartbeat/HeartbeatReconcilerTest.java
@@ -280,7 +280,7 @@
 
   /**
    * Guards against a machine that stays DRAINING until the term ends, which happened without {@code
-   * QuarantinePolicy.stopDraining}.
+   * ClusterState.resumePlacementOn}.
    */
   @Test
   void aMachineWhoseQuarantineEndsWhileItDrainsIsSchedulableAgain() {
@@ -296,6 +296,38 @@
     assertTrue(drained.schedulable());
   }
 
+  /** Guards against a healthy machine that is barred for good by jobs that were cancelled since. */
+  @Test
+  void theFailuresOfACancelledJobAreNoEvidenceAgainstAMachine() {
+    Machine machine = machine("m1", MachinePhase.BOOTING);
+    Job second = cluster.loaded(JobSpecBuilder.array("req-000002").tasks(4).build());
+    fail(job, machine, SECOND);
+    fail(second, machine, SECOND);
+    assertTrue(machine.quarantined());
+    machine.changePhase(MachinePhase.DRAINING, 10 * SECOND);
+    clusterState.withdrawFailures(second, "the job is cancelled", 70 * SECOND);
+    assertFalse(machine.quarantined());
+    assertTrue(machine.schedulable());
+  }
+
+  /** Guards against a faulty machine that receives tasks as before because its probation began. */
+  @Test
+  void aFailureDuringTheProbationQuarantinesAgain() {
+    Machine machine = machine("m1", MachinePhase.BOOTING);
+    Job second = cluster.loaded(JobSpecBuilder.array("req-000002").tasks(4).build());
+    Job third = cluster.loaded(JobSpecBuilder.array("req-000003").tasks(4).build());
+    fail(job, machine, SECOND);
+    fail(second, machine, SECOND);
+    machine.failures().beginProbation(46 * SECOND);
+    assertTrue(machine.schedulable());
+    cluster.bind(third, 0, machine, TaskPhase.STARTING, 47 * SECOND);
+    assertFalse(machine.schedulable(), "one new task at a time");
+    clusterState.unbind(third.boundTasks().get(0), "test", 47 * SECOND);
+    assertTrue(machine.schedulable());
+    fail(third, machine, 48 * SECOND);
+    assertTrue(machine.quarantined());
+  }
+
   /** A machine that is to be reclaimed receives no tasks, regardless of the jobs. */
   @Test
   void aMachineToBeReclaimedKeepsDrainingAfterItsQuarantine() {
--- a/src/test/java/org/dewreach/membership/FleetManagerTest.java
+++ b/src/test/java/org/dewreach/membership/FleetManagerTest.java
@@ -1,6 +1,8 @@
 package org.dewreach.membership;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
 import org.dewreach.cloud.CloudClient;
@@ -11,6 +13,7 @@
 import org.dewreach.model.Job;
 import org.dewreach.model.Machine;
 import org.dewreach.model.MachinePhase;
+import org.dewreach.model.TaskPhase;
 import org.dewreach.port.Outbox;
 import org.dewreach.state.ClusterState;
 import org.dewreach.state.MachineRegistry;
@@ -22,7 +25,7 @@
 import org.dewreach.wire.MachineType;
 import org.junit.jupiter.api.Test;
 
-/** Tests when a quarantined machine is released. */
+/** Tests when a quarantined machine is released, and when it is used again. */
 class FleetManagerTest {
   private static final long SECOND = 1_000_000;
   private static final MachineType TYPE = ClusterFixture.type("box", 8, 32, 0);
@@ -69,12 +72,12 @@
 
   private void recordFailure(Machine machine, Job job, long atMicros) {
     job.backoff().recordFailure(machine.name(), atMicros);
-    machine.failures().recordFailure(job.id());
+    machine.failures().recordFailure(job.id(), false);
   }
 
   /**
    * Guards against releasing healthy machines, which happened without {@code
-   * MachineDrainer.MAX_QUARANTINE_MICROS}: a job whose tasks take 20 s to fail cannot have failed
+   * MachineDrainer.MAX_RETRY_WAIT_MICROS}: a job whose tasks take 20 s to fail cannot have failed
    * elsewhere within 8 s.
    */
   @Test
@@ -99,4 +102,28 @@
     runRounds(2 * SECOND, 12 * SECOND);
     assertEquals(MachinePhase.TERMINATING, machine.phase());
   }
+
+  /**
+   * Guards against a quarantined machine that neither receives tasks nor is released, because a
+   * replica that never ends runs there.
+   */
+  @Test
+  void aQuarantinedMachineWithAReplicaIsUsedAgainAfterAWhile() {
+    Machine machine = machine("m1");
+    Job service = cluster.submitted(JobSpecBuilder.service("req-9").build());
+    cluster.bind(service, 0, machine, TaskPhase.RUNNING, 0);
+    List<Job> jobs = List.of(job("req-1"), job("req-2"));
+    jobs.forEach(job -> recordFailure(machine, job, SECOND));
+    machine.failures().quarantine(SECOND);
+    jobs.forEach(job -> clusterState.markDone(job, 0));
+    runRounds(2 * SECOND, 45 * SECOND);
+    assertEquals(MachinePhase.DRAINING, machine.phase());
+    runRounds(46 * SECOND, 47 * SECOND);
+    assertEquals(MachinePhase.UP, machine.phase());
+    assertTrue(machine.schedulable(), "on probation");
+    cluster.bind(job("req-3"), 0, machine, TaskPhase.RUNNING, 48 * SECOND);
+    assertFalse(machine.schedulable(), "one new task at a time");
+    runRounds(48 * SECOND, 78 * SECOND);
+    assertTrue(machine.schedulable(), "the probation ends, though the new task runs on");
+  }
 }
--- a/src/test/java/org/dewreach/model/MachineTest.java
+++ b/src/test/java/org/dewreach/model/MachineTest.java
@@ -72,7 +72,7 @@
     machine.cordoned(false);
     machine.failures().quarantine(SECOND);
     assertFalse(machine.schedulable());
-    machine.failures().endQuarantine();
+    machine.failures().clear(SECOND);
     machine.reclaimAt(30 * SECOND);
     assertFalse(machine.schedulable());
     machine.reclaimAt(-1);
--- a/src/test/java/org/dewreach/sim/SimCloud.java
+++ b/src/test/java/org/dewreach/sim/SimCloud.java
@@ -60,6 +60,9 @@
   /** The end of the time in which the cloud has no capacity. */
   long noCapacityUntil;
 
+  /** The number of machines that the cloud has at most, booting ones included. */
+  int maxMachines = Integer.MAX_VALUE;
+
   /** The factor by which boot times differ from those of the catalog. */
   double bootTimeFactor = 1;
 
@@ -191,7 +194,8 @@
         machines.values().stream()
             .filter(h -> h.type() == type && h.zone().equals(zone) && h.spot() == spot)
             .count();
-    long allocated = Math.min(body.path("count").asInt(), capacity() - used);
+    long available = Math.min(capacity() - used, maxMachines - machines.size());
+    long allocated = Math.min(body.path("count").asInt(), available);
     List<String> names = new ArrayList<>();
     for (long i = 0; i < allocated; i++) {
       names.add(add(type, zone, spot).name());
--- a/src/test/java/org/dewreach/testing/JobSpecBuilder.java
+++ b/src/test/java/org/dewreach/testing/JobSpecBuilder.java
@@ -1,5 +1,6 @@
 package org.dewreach.testing;
 
+import java.util.List;
 import org.dewreach.wire.JobKind;
 import org.dewreach.wire.JobSpec;
 import org.dewreach.wire.Priority;
@@ -19,6 +20,7 @@
   private double memoryGb = 1;
   private String image = "img";
   private double imageGb = 1;
+  private List<String> types;
   private String zone;
   private boolean sameZone;
   private boolean spreadZones;
@@ -98,6 +100,12 @@
     return this;
   }
 
+  /** Sets the allowed machine types; null allows any. */
+  public JobSpecBuilder types(List<String> newTypes) {
+    types = newTypes;
+    return this;
+  }
+
   /** Sets the only allowed zone; null allows any. */
   public JobSpecBuilder zone(String newZone) {
     zone = newZone;
@@ -155,7 +163,7 @@
         memoryGb,
         image,
         imageGb,
-        null,
+        types,
         zone,
         sameZone,
         spreadZones,
