Placement: a task returns to the machine where it was started directly

Seen: six tasks are stopped for three urgent services on the only machine.

Cause: a task was never placed again where a direct start of it was sent in the same incarnation. That keeps late copies of the start harmless, but it did not end.

Evidence: in the record of the case no command follows the stops.

Change: if no task of the job can be started directly and no other machine has room, the task returns as the same attempt: its record is removed, and the attempt is started once a report lacks it, both by responses to heartbeats, which are not executed late. Gangs do not return; left open.

--- a/src/main/java/org/dewreach/heartbeat/DirectCommandSender.java
+++ b/src/main/java/org/dewreach/heartbeat/DirectCommandSender.java
@@ -23,11 +23,11 @@
  * <p>Such a command may arrive minutes late, or twice. Two rules make that harmless. First, a start
  * that got no reply is repeated in heartbeat responses until the worker reports the attempt, so the
  * late copy finds the attempt known and has no effect. Second, an attempt that was ever started
- * directly is not removed from its worker while the incarnation lasts: a copy that arrives after
- * its exit finds it known as well. Nor is the task placed on that machine again in the incarnation,
- * since a new attempt could replace the old one there. To keep heartbeats small, the number of
- * attempts that are started directly in an incarnation is limited; the others wait for the
- * heartbeat.
+ * directly is not removed from its worker while the incarnation lasts, unless the task is bound to
+ * that machine: a copy that arrives after its exit finds it known as well. If the task is placed on
+ * that machine again in the incarnation, it runs as the same attempt, since a new one could replace
+ * the old one there. To keep heartbeats small, the number of attempts that are started directly in
+ * an incarnation is limited; the others wait for the heartbeat.
  */
 public final class DirectCommandSender {
   private static final Logger LOG = LoggerFactory.getLogger(DirectCommandSender.class);
@@ -133,12 +133,12 @@
   }
 
   /**
-   * True if the task may be started directly; otherwise the response to the next heartbeat starts
-   * it. A directly started task is not started again on the machine in this incarnation, so a job
-   * that has failed, and may have to return to a machine, is left to the heartbeats.
+   * True if the task may be started directly; otherwise the responses to heartbeats start it. They
+   * start a task again that was started directly here before, because the worker's record of that
+   * run has to be removed first, and a job that has failed, which may have to return to a machine.
    */
   private static boolean mayStart(Machine machine, Task task) {
-    if (task.job().backoff().hasFailed()) {
+    if (task.job().backoff().hasFailed() || machine.directCommands().hasStartedTask(task.name())) {
       return false;
     }
     boolean service = task.spec().jobKind() == JobKind.SERVICE;
--- a/src/main/java/org/dewreach/heartbeat/HeartbeatReconciler.java
+++ b/src/main/java/org/dewreach/heartbeat/HeartbeatReconciler.java
@@ -128,6 +128,8 @@
       if (task.phase() == TaskPhase.ASSIGNED) {
         task.changePhase(TaskPhase.STARTING, nowMicros);
       }
+    } else if (command instanceof WorkerCommand.Remove) {
+      TaskReconciler.onRemovalSent(machine, command);
     }
   }
 }
--- a/src/main/java/org/dewreach/heartbeat/TaskReconciler.java
+++ b/src/main/java/org/dewreach/heartbeat/TaskReconciler.java
@@ -1,6 +1,8 @@
 package org.dewreach.heartbeat;
 
 import java.util.List;
+import org.dewreach.model.DirectStart;
+import org.dewreach.model.ExitedRecord;
 import org.dewreach.model.Job;
 import org.dewreach.model.JobPhase;
 import org.dewreach.model.Machine;
@@ -12,6 +14,7 @@
 import org.dewreach.wire.Heartbeat.TaskStatus;
 import org.dewreach.wire.JobKind;
 import org.dewreach.wire.TaskName;
+import org.dewreach.wire.WorkerCommand;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -79,6 +82,10 @@
     TaskName name = reported.name();
     Job job = clusterState.jobs().get(name.jobId());
     Task task = boundAttempt(machine, reported);
+    if (task != null && isEarlierRun(task, reported)) {
+      reconcileEarlierRun(report, task, commands);
+      return;
+    }
     if (task != null) {
       onExit(machine, task, reported.cause(), report.nowMicros());
     } else if (reported.cause() == ExitCause.DONE && job != null) {
@@ -90,6 +97,39 @@
     }
   }
 
+  /**
+   * True if the worker reports an exit of an earlier run of the attempt. A result counts, whichever
+   * run it is of.
+   */
+  private static boolean isEarlierRun(Task task, TaskStatus reported) {
+    return task.exitedRecord() != ExitedRecord.NONE && reported.cause() != ExitCause.DONE;
+  }
+
+  /**
+   * Has the record of an earlier run removed, so that the attempt can be started again, or unbinds
+   * the task if it is not wanted any more. The reply to a direct command does not show that the
+   * record is kept: the response with its removal may still be on its way.
+   */
+  private void reconcileEarlierRun(WorkerReport report, Task task, CommandBatch commands) {
+    if (!report.isCurrent() || report.source() != ReportSource.HEARTBEAT) {
+      return;
+    }
+    if (task.phase() == TaskPhase.STOPPING) {
+      clusterState.unbind(task, "stopped before it started again", report.nowMicros());
+    } else {
+      commands.remove(task.name(), task.attempt());
+    }
+  }
+
+  /** Records that the removal of an attempt was sent to the machine's worker. */
+  static void onRemovalSent(Machine machine, WorkerCommand removal) {
+    Task task = machine.task(removal.task());
+    boolean bound = task != null && task.attempt() == removal.attempt();
+    if (bound && task.exitedRecord() == ExitedRecord.KEPT) {
+      task.exitedRecord(ExitedRecord.REMOVAL_SENT);
+    }
+  }
+
   /**
    * True if the worker has to keep reporting the attempt. A result is reported until it is durable,
    * so that no leader can miss it.
@@ -131,6 +171,7 @@
     TaskName name = reported.name();
     Task task = boundAttempt(machine, reported);
     if (task != null) {
+      task.exitedRecord(ExitedRecord.NONE);
       updatePhase(task, reported.state(), report.nowMicros());
       return;
     }
@@ -198,8 +239,17 @@
       clusterState.stop(task, "no longer needed", nowMicros);
     }
     boolean reported = report.reports(task.name());
+    if (!reported && task.exitedRecord() != ExitedRecord.NONE) {
+      // The worker no longer knows the attempt, so a late copy of the earlier start may begin it.
+      task.exitedRecord(ExitedRecord.NONE);
+      task.directStart(DirectStart.LOST);
+    }
     switch (task.phase()) {
-      case ASSIGNED -> commands.start(task);
+      case ASSIGNED -> {
+        if (task.exitedRecord() == ExitedRecord.NONE) {
+          commands.start(task);
+        }
+      }
       case STARTING -> {
         // The response with the start was dropped: this heartbeat was sent afterwards.
         if (!reported) {
--- a/src/main/java/org/dewreach/model/DirectCommands.java
+++ b/src/main/java/org/dewreach/model/DirectCommands.java
@@ -1,8 +1,9 @@
 package org.dewreach.model;
 
 import it.unimi.dsi.fastutil.longs.LongOpenHashSet;
-import java.util.HashSet;
-import java.util.Set;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.OptionalLong;
 import org.dewreach.wire.TaskName;
 
 /**
@@ -12,7 +13,7 @@
  */
 public final class DirectCommands {
   private final LongOpenHashSet startedAttempts = new LongOpenHashSet();
-  private final Set<TaskName> startedTasks = new HashSet<>();
+  private final Map<TaskName, Long> startedTasks = new HashMap<>();
   private boolean inFlight;
   private long notBefore;
 
@@ -27,18 +28,25 @@
   /** Records that the start of an attempt was sent directly. */
   public void recordStart(TaskName task, long attempt) {
     startedAttempts.add(attempt);
-    startedTasks.add(task);
+    startedTasks.put(task, attempt);
+  }
+
+  /** True if a direct start of the task was sent in this incarnation. */
+  public boolean hasStartedTask(TaskName task) {
+    return startedTasks.containsKey(task);
   }
 
   /**
-   * True if a direct start of the task was sent in this incarnation.
+   * Returns the attempt of the task whose start was sent directly in this incarnation; empty if
+   * there is none. The task may be started here again as this attempt only.
    *
-   * <p>Guards against a late copy of that start. If a later attempt of the task were started here,
+   * <p>Guards against a late copy of that start. If another attempt of the task were started here,
    * it could replace the one that the worker has recorded; the worker would then accept the copy,
    * and the task could run here and on another machine at the same time.
    */
-  public boolean hasStartedTask(TaskName task) {
-    return startedTasks.contains(task);
+  public OptionalLong startedAttempt(TaskName task) {
+    Long attempt = startedTasks.get(task);
+    return attempt == null ? OptionalLong.empty() : OptionalLong.of(attempt);
   }
 
   /** True if a direct start of the attempt was sent in this incarnation. */
--- a/src/main/java/org/dewreach/model/Task.java
+++ b/src/main/java/org/dewreach/model/Task.java
@@ -14,6 +14,7 @@
   private long boundAt;
   private long startedAt;
   private DirectStart directStart = DirectStart.NONE;
+  private ExitedRecord exitedRecord = ExitedRecord.NONE;
   private boolean stopSentDirectly;
   private boolean started;
 
@@ -62,7 +63,10 @@
     return index;
   }
 
-  /** Returns the attempt number, which is unique over all terms. */
+  /**
+   * Returns the attempt number. It is unique over all terms, but for the runs of a task on a
+   * machine to which its start was sent directly: these share one number.
+   */
   public long attempt() {
     return attempt;
   }
@@ -115,6 +119,24 @@
     directStart = newState;
   }
 
+  /** Returns the record that the worker keeps of an earlier run of this attempt. */
+  public ExitedRecord exitedRecord() {
+    return exitedRecord;
+  }
+
+  /** Sets the record that the worker keeps of an earlier run of this attempt. */
+  public void exitedRecord(ExitedRecord newRecord) {
+    exitedRecord = newRecord;
+  }
+
+  /**
+   * True if the worker may start the attempt although the leader has sent no start since it was
+   * bound: a late copy of an earlier start has an effect once the record of that run is removed.
+   */
+  public boolean mayStartUnasked() {
+    return exitedRecord == ExitedRecord.REMOVAL_SENT || directStartUnresolved();
+  }
+
   /** True if a stop was sent directly to the worker. */
   public boolean stopSentDirectly() {
     return stopSentDirectly;
--- a/src/main/java/org/dewreach/scheduling/JobPlacement.java
+++ b/src/main/java/org/dewreach/scheduling/JobPlacement.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.function.Predicate;
 import org.dewreach.model.Job;
 import org.dewreach.model.Machine;
@@ -17,7 +18,7 @@
 final class JobPlacement {
   /**
    * Maximum number of tasks that are skipped, each because of its earlier direct start, in the
-   * search for one that can be placed.
+   * search for one that can be started directly.
    */
   private static final int MAX_SKIPPED_TASKS = 20;
 
@@ -30,7 +31,6 @@
   private final boolean retryWhereFailed;
   private final long startWithinMicros;
   private final long nowMicros;
-  private boolean blockedByDirectStart;
 
   /**
    * Creates a placement that has not placed anything yet.
@@ -70,14 +70,6 @@
         || spec.sameZone() && spec.jobKind() == JobKind.SERVICE && job.boundTasks().isEmpty();
   }
 
-  /**
-   * True if some task would have fit on a machine on which it must not be placed again because of
-   * an earlier direct start.
-   */
-  boolean blockedByDirectStart() {
-    return blockedByDirectStart;
-  }
-
   /**
    * Places at most {@code maxTasks} of the pending tasks, and returns the number of those placed.
    */
@@ -123,35 +115,78 @@
 
   private List<Task> place(int count, String zone) {
     Predicate<Machine> allowed = allowedMachines(zone);
-    List<Task> placed = new ArrayList<>();
     // The tasks of a gang find each other by their attempt number, so all of them share one.
     long gangAttempt = gang ? clusterState.nextAttempt() : 0;
+    List<Task> placed = new ArrayList<>();
+    boolean skippedAny = placeWhereNotStartedBefore(count, allowed, gangAttempt, placed);
+    // The tasks of a gang need a new attempt in common, so none of them can run as an earlier one.
+    if (skippedAny && !gang && placed.size() < count) {
+      placeWhereStartedBefore(count, allowed, placed);
+    }
+    return placed;
+  }
+
+  /**
+   * Places tasks on machines to which no direct start of them was sent in the present incarnation.
+   *
+   * @return true if a task was skipped that would have fit on another machine
+   */
+  private boolean placeWhereNotStartedBefore(
+      int count, Predicate<Machine> allowed, long gangAttempt, List<Task> placed) {
     int skipped = 0;
     int index = job.nextPending();
     while (placed.size() < count && index >= 0) {
-      DirectStartFilter directStartFilter = new DirectStartFilter(new TaskName(job.id(), index));
-      Machine machine =
-          clusterState
-              .sortedMachines()
-              .firstFit(spec, allowed.and(directStartFilter), startWithinMicros);
+      TaskName task = new TaskName(job.id(), index);
+      DirectStartFilter notStartedBefore = new DirectStartFilter(task);
+      Machine machine = firstFit(allowed.and(notStartedBefore));
       if (machine == null) {
-        blockedByDirectStart |= directStartFilter.excludedAny;
-        // Continues with the next task. Otherwise one task that must not be started again on a
-        // machine would keep all tasks of its job, and of equivalent jobs, off that machine.
-        if (!directStartFilter.excludedAny || ++skipped > MAX_SKIPPED_TASKS) {
-          break;
+        // Continues with the next task, which may start at once where this one may not.
+        if (!notStartedBefore.excludedAny || ++skipped > MAX_SKIPPED_TASKS) {
+          return skipped > 0;
         }
+      } else if (allocates(machine, placed)) {
+        placed.add(bind(task, machine, gang ? gangAttempt : clusterState.nextAttempt()));
       } else {
-        boolean exempt = exemptFromHeadroom && (gang || placed.isEmpty());
-        if (!headroom.tryAllocate(machine, spec, exempt)) {
-          break;
-        }
-        long attempt = gang ? gangAttempt : clusterState.nextAttempt();
-        placed.add(clusterState.bind(job, index, attempt, machine, TaskPhase.ASSIGNED, nowMicros));
+        return false;
       }
       index = job.pendingAfter(index);
     }
-    return placed;
+    return skipped > 0;
+  }
+
+  /**
+   * Places tasks on any allowed machine. A task takes two heartbeats to start where it was started
+   * directly before.
+   *
+   * <p>Guards against a task that waits beside the only machine with free capacity because it was
+   * stopped, refused or failed there before.
+   */
+  private void placeWhereStartedBefore(int count, Predicate<Machine> allowed, List<Task> placed) {
+    int index = job.nextPending();
+    while (placed.size() < count && index >= 0) {
+      Machine machine = firstFit(allowed);
+      if (machine == null || !allocates(machine, placed)) {
+        return;
+      }
+      placed.add(bind(new TaskName(job.id(), index), machine, clusterState.nextAttempt()));
+      index = job.pendingAfter(index);
+    }
+  }
+
+  private Machine firstFit(Predicate<Machine> allowed) {
+    return clusterState.sortedMachines().firstFit(spec, allowed, startWithinMicros);
+  }
+
+  private boolean allocates(Machine machine, List<Task> placed) {
+    boolean exempt = exemptFromHeadroom && (gang || placed.isEmpty());
+    return headroom.tryAllocate(machine, spec, exempt);
+  }
+
+  private Task bind(TaskName task, Machine machine, long newAttempt) {
+    OptionalLong earlier = machine.directCommands().startedAttempt(task);
+    return earlier.isPresent()
+        ? clusterState.bindAgain(job, task.index(), earlier.getAsLong(), machine, nowMicros)
+        : clusterState.bind(job, task.index(), newAttempt, machine, TaskPhase.ASSIGNED, nowMicros);
   }
 
   private Predicate<Machine> allowedMachines(String zone) {
--- a/src/main/java/org/dewreach/scheduling/Preemption.java
+++ b/src/main/java/org/dewreach/scheduling/Preemption.java
@@ -19,7 +19,6 @@
 import org.dewreach.wire.JobKind;
 import org.dewreach.wire.JobSpec;
 import org.dewreach.wire.Priority;
-import org.dewreach.wire.TaskName;
 
 /**
  * Frees capacity for tasks that fit on no machine by stopping tasks of lower priority.
@@ -156,16 +155,12 @@
      * machine, tasks would be stopped to no effect, and again in every pass.
      */
     private Predicate<Machine> eligibleMachines(Job job) {
-      TaskName next = new TaskName(job.id(), Math.max(0, job.nextPending()));
       // Tasks that may run on spot machines must leave headroom for services on on-demand machines,
       // and preemption does not create headroom.
       boolean spotOnly = ServiceHeadroom.appliesTo(job.spec());
       Predicate<Machine> allowed = MachineFilter.forJob(job, false, nowMicros);
       return machine ->
-          machine.schedulable()
-              && (machine.spot() || !spotOnly)
-              && allowed.test(machine)
-              && !machine.directCommands().hasStartedTask(next);
+          machine.schedulable() && (machine.spot() || !spotOnly) && allowed.test(machine);
     }
 
     /**
--- a/src/main/java/org/dewreach/scheduling/TaskPlacer.java
+++ b/src/main/java/org/dewreach/scheduling/TaskPlacer.java
@@ -176,9 +176,7 @@
         // Guards against a job that waits beside machines on which it failed.
         return newPlacement(job, exempt, true).place(limit);
       }
-      if (!placement.blockedByDirectStart()) {
-        unplaceable.add(equivalenceKey);
-      }
+      unplaceable.add(equivalenceKey);
       return 0;
     }
 
--- a/src/main/java/org/dewreach/state/ClusterState.java
+++ b/src/main/java/org/dewreach/state/ClusterState.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import org.dewreach.config.Settings;
 import org.dewreach.config.Tuning;
+import org.dewreach.model.ExitedRecord;
 import org.dewreach.model.Job;
 import org.dewreach.model.Machine;
 import org.dewreach.model.MachinePhase;
@@ -164,6 +165,17 @@
     return task;
   }
 
+  /**
+   * Binds a task to a machine to whose worker its start was sent directly before, in the same
+   * incarnation. The task runs as the same attempt again: the worker then knows the attempt at all
+   * times, except while it is bound here, so a late copy of the start has no effect elsewhere.
+   */
+  public Task bindAgain(Job job, int index, long attempt, Machine machine, long nowMicros) {
+    Task task = bind(job, index, attempt, machine, TaskPhase.ASSIGNED, nowMicros);
+    task.exitedRecord(ExitedRecord.KEPT);
+    return task;
+  }
+
   /** Unbinds a task that is proven gone from its machine. */
   public void unbind(Task task, String reason, long nowMicros) {
     LOG.debug(
@@ -258,22 +270,30 @@
     }
   }
 
-  /** Marks a task to be stopped. A task whose start was never sent is unbound at once. */
+  /** Marks a task to be stopped. A task that the worker cannot have started is unbound at once. */
   public void stop(Task task, String reason, long nowMicros) {
     switch (task.phase()) {
-      case ASSIGNED -> unbind(task, reason, nowMicros);
-      case STARTING, PULLING, RUNNING -> {
-        LOG.debug(
-            "task stopping: task={} machine={} reason=\"{}\"",
-            task.name(),
-            task.machine().name(),
-            reason);
-        task.changePhase(TaskPhase.STOPPING, nowMicros);
-        machinesToCommand.add(task.machine());
+      case ASSIGNED -> {
+        if (task.mayStartUnasked()) {
+          markStopping(task, reason, nowMicros);
+        } else {
+          unbind(task, reason, nowMicros);
+        }
       }
+      case STARTING, PULLING, RUNNING -> markStopping(task, reason, nowMicros);
       case STOPPING, GONE -> {
         // already stopping or gone
       }
     }
   }
+
+  private void markStopping(Task task, String reason, long nowMicros) {
+    LOG.debug(
+        "task stopping: task={} machine={} reason=\"{}\"",
+        task.name(),
+        task.machine().name(),
+        reason);
+    task.changePhase(TaskPhase.STOPPING, nowMicros);
+    machinesToCommand.add(task.machine());
+  }
 }
--- a/src/test/java/org/dewreach/sim/StaleMessages.java
+++ b/src/test/java/org/dewreach/sim/StaleMessages.java
@@ -18,6 +18,9 @@
   /** The share of commands that a late copy follows, in thousandths. */
   int commandCopyShare = 10;
 
+  /** The number of late copies of a command that is repeated. */
+  int copiesPerCommand = 1;
+
   /** The share of direct commands that are delayed, in thousandths. */
   private int delayedCommandShare;
 
@@ -117,19 +120,25 @@
   }
 
   /**
-   * May deliver a late copy of a command that was delivered. The copy arrives on the connection of
+   * May deliver late copies of a command that was delivered. A copy arrives on the connection of
    * the command, which does not outlive the worker process (see docs/questions.md).
    */
   void maybeRepeatCommand(SimWorker worker, JsonNode command) {
     if (random.nextInt(1000) < commandCopyShare) {
-      int restartsBefore = worker.processRestarts;
-      clock.in(
-          random.nextLong(40_000_000),
-          () -> {
-            if (worker.processRestarts == restartsBefore) {
-              worker.command(command, (status, response) -> {});
-            }
-          });
+      for (int i = 0; i < copiesPerCommand; i++) {
+        deliverCopy(worker, command);
+      }
     }
   }
+
+  private void deliverCopy(SimWorker worker, JsonNode command) {
+    int restartsBefore = worker.processRestarts;
+    clock.in(
+        random.nextLong(40_000_000),
+        () -> {
+          if (worker.processRestarts == restartsBefore) {
+            worker.command(command, (status, response) -> {});
+          }
+        });
+  }
 }
--- a/src/test/java/org/dewreach/testing/JobSpecBuilder.java
+++ b/src/test/java/org/dewreach/testing/JobSpecBuilder.java
@@ -55,6 +55,11 @@
         .expectedMicros(0);
   }
 
+  /** Creates a builder for a gang of team red, with the defaults of an array job. */
+  public static JobSpecBuilder gang(String id) {
+    return new JobSpecBuilder(id, JobKind.GANG);
+  }
+
   /** Sets the class of the job. */
   public JobSpecBuilder jobClass(String newJobClass) {
     jobClass = newJobClass;
