Headroom: the rest of a job gets into the room kept for services

Cause: the guard against jobs that wait for ever beside the room kept for services asked for a job without a completed or bound task, so only the first task could use the room.

Change: what counts is how long no task of the job could be placed: after 60 s one may use the room, and one more each 60 s.

--- a/src/main/java/org/dewreach/model/Job.java
+++ b/src/main/java/org/dewreach/model/Job.java
@@ -24,6 +24,7 @@
   private JobState finalState;
   private long cancelRequestedAt;
   private long cancelledAt = Long.MIN_VALUE / 2;
+  private long lastBoundAt = Long.MIN_VALUE / 2;
 
   /** The index at which the search for the next pending task begins; the search wraps around. */
   private int nextPendingFrom;
@@ -200,6 +201,15 @@
     }
     boundNotDoneCount += doneTasks.get(task.index()) ? 0 : 1;
     boundCountByZone.addTo(task.machine().zone(), 1);
+    lastBoundAt = Math.max(lastBoundAt, task.boundAt());
+  }
+
+  /**
+   * Returns when a task of the job was last bound to a machine; far in the past if none was in this
+   * term.
+   */
+  public long lastBoundAt() {
+    return lastBoundAt;
   }
 
   /** Unbinds a task, which is pending again unless it is done. */
--- a/src/main/java/org/dewreach/scheduling/ServiceHeadroom.java
+++ b/src/main/java/org/dewreach/scheduling/ServiceHeadroom.java
@@ -9,7 +9,7 @@
 /** The CPUs of on-demand machines that one placement pass keeps free for future services. */
 final class ServiceHeadroom {
   /**
-   * A job that has waited this long for its first task may place it in the headroom kept for
+   * A job of which no task could be placed for this long may place one in the headroom kept for
    * services.
    */
   private static final long EXEMPT_AFTER_MICROS = 60_000_000;
@@ -36,14 +36,15 @@
   /**
    * True if the job may use the headroom kept for services.
    *
-   * <p>Guards against a small job that waits forever although it fits into the headroom, because
-   * the cloud has no machine for it.
+   * <p>Guards against a small job, or the rest of a job, that waits forever although it fits into
+   * the headroom, because the cloud has no machine for it.
+   *
+   * @param wallOffsetMicros wall-clock time minus event time
    */
-  static boolean isExempt(Job job, long wallMicros) {
+  static boolean isExempt(Job job, long nowMicros, long wallOffsetMicros) {
+    long acceptedAt = job.acceptedWallMicros() - wallOffsetMicros;
     return appliesTo(job.spec())
-        && job.doneCount() == 0
-        && !job.hasBoundTasks()
-        && wallMicros - job.acceptedWallMicros() > EXEMPT_AFTER_MICROS;
+        && nowMicros - Math.max(acceptedAt, job.lastBoundAt()) > EXEMPT_AFTER_MICROS;
   }
 
   /**
--- a/src/main/java/org/dewreach/scheduling/TaskPlacer.java
+++ b/src/main/java/org/dewreach/scheduling/TaskPlacer.java
@@ -161,7 +161,7 @@
     }
 
     private int tryToPlace(Job job, int withinQuota) {
-      boolean exempt = ServiceHeadroom.isExempt(job, wallMicros);
+      boolean exempt = ServiceHeadroom.isExempt(job, nowMicros, wallOffsetMicros);
       String equivalenceKey = equivalenceKey(job, exempt);
       if (unplaceable.contains(equivalenceKey)) {
         return 0;
--- a/src/test/java/org/dewreach/scheduling/TaskPlacerTest.java
+++ b/src/test/java/org/dewreach/scheduling/TaskPlacerTest.java
@@ -133,6 +133,26 @@
     assertEquals(1, job.boundTasks().size(), "only the first task");
   }
 
+  /** Guards against the rest of an array that waits forever beside the headroom for services. */
+  @Test
+  void theRestOfAnArrayIsPlacedInTheServiceHeadroomOneTaskAtATime() {
+    box("m1", false);
+    JobSpec service = JobSpecBuilder.service("req-9").cpus(8).build();
+    for (int i = 0; i < 100; i++) {
+      clusterState.serviceArrivalRate().recordArrival(service, SECOND);
+    }
+    Job job = submitted("req-1", 4);
+    placer.placeTasks(61 * SECOND, each -> true, 60 * SECOND);
+    clusterState.unbind(job.boundTasks().get(0), "test", 66 * SECOND);
+    clusterState.markDone(job, 0);
+    placer.placeTasks(120 * SECOND, each -> true, 60 * SECOND);
+    assertEquals(0, job.boundTasks().size(), "a task was placed within a minute");
+    placer.placeTasks(122 * SECOND, each -> true, 60 * SECOND);
+    assertEquals(Set.of(1), Set.copyOf(job.boundTasks().keySet()));
+    placer.placeTasks(183 * SECOND, each -> true, 60 * SECOND);
+    assertEquals(2, job.boundTasks().size(), "also beside a task that runs long");
+  }
+
   /**
    * Guards against replicas that must share a zone and are never replaced once the service loses
    * them long after its acceptance.
--- a/src/test/java/org/dewreach/sim/ScarceMachinesTest.java
+++ b/src/test/java/org/dewreach/sim/ScarceMachinesTest.java
@@ -86,6 +86,36 @@
     assertRunsBesideTheService(simulation, cancelledAt + SECOND, List.of(LATE));
   }
 
+  /** Guards against the rest of an array that waits beside room that is kept for services. */
+  @ParameterizedTest(name = "seed {0}, services every {1} s after the burst")
+  @CsvSource({"1, 0", "2, 0", "3, 0", "4, 0", "1, 25", "2, 25", "3, 25", "4, 25"})
+  @DisplayName("The rest of an array is placed beside room that is kept for services")
+  void theRestOfAnArrayIsPlaced(long seed, int servicesEveryS) {
+    Simulation simulation = clusterWithOneMachine(seed);
+    simulation.users.submitJob(array(LATE, 4).resources(1, 1, 0).build());
+    simulation.clock.at(UP_AT + 3 * SECOND, () -> submitUrgentServices(simulation, "req-u", 6));
+    long afterBurst = UP_AT + 15 * SECOND;
+    if (servicesEveryS > 0) {
+      for (long at = afterBurst; at < UP_AT + 200 * SECOND; at += servicesEveryS * SECOND) {
+        scheduleShortUrgentService(simulation, at);
+      }
+    }
+    simulation.users.submitJob(array("req-rest", 3).resources(2, 1, 0).build());
+    assertRulesHold(simulation, afterBurst, afterBurst + 250 * SECOND);
+    assertEquals("done", simulation.checker.reportedFinalState(LATE));
+    assertEquals("done", simulation.checker.reportedFinalState("req-rest"));
+  }
+
+  private static void scheduleShortUrgentService(Simulation simulation, long at) {
+    simulation.clock.at(
+        at,
+        () -> {
+          String id = "req-short" + at / SECOND;
+          simulation.users.submitJob(service(id).cpus(1).build());
+          simulation.clock.in(5 * SECOND, () -> simulation.requests.cancelUntilConfirmed(id));
+        });
+  }
+
   private static List<String> submitUrgentServices(
       Simulation simulation, String prefix, int count) {
     List<String> urgent = IntStream.range(0, count).mapToObj(i -> prefix + i).toList();
