Cordon: a job that fails repeatedly gets a cordoned machine back

Cause: a job that failed on two machines in a row rarely counts as unplaced, since nothing is to be rented for it; but unplaced tasks are what ends the cordon. So it could wait beside a cordoned machine for up to three minutes.

Evidence: TaskPlacerTest.aRepeatedlyFailingJobEndsTheCordonOfAMachineWithRoom needs the change.

Change: if such a job finds no room on any machine, the first cordoned machine on which it fits is uncordoned, and the next pass uses it. The probation of a quarantined machine begins after 40 s and lasts 25 s, so that it ends well before a job may have waited 90 s.

--- a/src/main/java/org/dewreach/membership/MachineDrainer.java
+++ b/src/main/java/org/dewreach/membership/MachineDrainer.java
@@ -36,10 +36,10 @@
   private static final long MAX_RETRY_WAIT_MICROS = 60_000_000;
 
   /** After this time, a quarantined machine that still runs tasks is put on probation. */
-  private static final long PROBATION_AFTER_MICROS = 45_000_000;
+  private static final long PROBATION_AFTER_MICROS = 40_000_000;
 
   /** With {@link #PROBATION_AFTER_MICROS}, well below the longest wait beside free capacity. */
-  private static final long PROBATION_MICROS = 30_000_000;
+  private static final long PROBATION_MICROS = 25_000_000;
 
   private final ClusterState clusterState;
   private final Settings settings;
--- a/src/main/java/org/dewreach/scheduling/TaskPlacer.java
+++ b/src/main/java/org/dewreach/scheduling/TaskPlacer.java
@@ -10,17 +10,22 @@
 import org.dewreach.config.Settings;
 import org.dewreach.config.Tuning;
 import org.dewreach.model.Job;
+import org.dewreach.model.Machine;
 import org.dewreach.placement.QueueOrder;
 import org.dewreach.placement.SortFirstFit;
 import org.dewreach.state.ClusterState;
 import org.dewreach.wire.JobKind;
 import org.dewreach.wire.JobSpec;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Places pending tasks in the order of the queue. A job that does not fit does not block the jobs
  * behind it.
  */
 public final class TaskPlacer {
+  private static final Logger LOG = LoggerFactory.getLogger(TaskPlacer.class);
+
   /**
    * If a job fails repeatedly, each of its tasks is observed for this long before the next one is
    * started.
@@ -174,12 +179,38 @@
       }
       if (job.backoff().failsRepeatedly()) {
         // Guards against a job that waits beside machines on which it failed.
-        return newPlacement(job, exempt, true).place(limit);
+        started = newPlacement(job, exempt, true).place(limit);
+        if (started == 0) {
+          uncordonOneFor(job);
+        }
+        return started;
       }
       unplaceable.add(equivalenceKey);
       return 0;
     }
 
+    /**
+     * Uncordons the first cordoned machine on which a task of the job fits; the next pass uses it.
+     *
+     * <p>Guards against a job that fails repeatedly and waits beside cordoned machines: it rarely
+     * counts as unplaced, which is what ends the cordon of machines for other jobs.
+     */
+    private void uncordonOneFor(Job job) {
+      Predicate<Machine> allowed = MachineFilter.forJob(job, true, nowMicros);
+      for (Machine machine : clusterState.sortedMachines().machines()) {
+        if (machine.cordoned()
+            && machine.schedulableOnceUncordoned()
+            && SortFirstFit.covers(machine, job.spec())
+            && allowed.test(machine)) {
+          LOG.info("machine uncordoned: machine={} for_job={}", machine.name(), job.id());
+          machine.cordoned(false);
+          clusterState.sortedMachines().updateCapacity(machine);
+          clusterState.requestPlacement();
+          return;
+        }
+      }
+    }
+
     private JobPlacement newPlacement(Job job, boolean exempt, boolean retryWhereFailed) {
       long startWithinMicros = startWithinMicrosByClass.getOrDefault(job.spec().jobClass(), 0L);
       return new JobPlacement(
--- a/src/test/java/org/dewreach/scheduling/TaskPlacerTest.java
+++ b/src/test/java/org/dewreach/scheduling/TaskPlacerTest.java
@@ -236,6 +236,24 @@
     assertEquals(1, job.boundTasks().size());
   }
 
+  /** Guards against a job that fails repeatedly and waits beside a cordoned machine. */
+  @Test
+  void aRepeatedlyFailingJobEndsTheCordonOfAMachineWithRoom() {
+    Machine full = box("m1", true);
+    Machine cordoned = box("m2", true);
+    submitted("req-2", 8);
+    placer.placeTasks(SECOND, each -> true, 5 * SECOND);
+    assertEquals(8, full.freeCpus());
+    cordoned.cordoned(true);
+    Job job = cluster.submitted(JobSpecBuilder.array("req-1").cpus(1).resources(1, 60, 0).build());
+    job.backoff().recordFailure("m8", SECOND);
+    job.backoff().recordFailure("m9", SECOND);
+    assertEquals(List.of(), placer.placeTasks(4 * SECOND, each -> true, 5 * SECOND));
+    assertTrue(cordoned.schedulable(), "the cordon ended");
+    placer.placeTasks(5 * SECOND, each -> true, 5 * SECOND);
+    assertEquals(cordoned, job.boundTasks().get(0).machine());
+  }
+
   /**
    * Guards against a service that faulty machines made look doubtful, and that waits forever
    * because no machine may run it.
