Tidy: the times of a quarantine are decided in QuarantineTimer

Cause: MachineDrainer had two jobs after the limits of quarantines were added. No behaviour changes.

--- a/src/test/java/org/dewreach/membership/FleetManagerTest.java
+++ b/src/test/java/org/dewreach/membership/FleetManagerTest.java
@@ -77,7 +77,7 @@
 
   /**
    * Guards against releasing healthy machines, which happened without {@code
-   * MachineDrainer.MAX_RETRY_WAIT_MICROS}: a job whose tasks take 20 s to fail cannot have failed
+   * QuarantineTimer.MAX_RETRY_WAIT_MICROS}: a job whose tasks take 20 s to fail cannot have failed
    * elsewhere within 8 s.
    */
   @Test
