A new leader gives listed machines the time to send a heartbeat

Cause: a machine known from the cloud's list alone counts as booting, and its boot timed out by its age, before a heartbeat could have come.

Evidence: the controllers log from=BOOTING to=TERMINATING "boot timed out". MachineHealthMonitorTest has the case and fails before.

--- a/src/main/java/org/dewreach/membership/FailureDetector.java
+++ b/src/main/java/org/dewreach/membership/FailureDetector.java
@@ -180,8 +180,16 @@
         : MachineCondition.RESPONSIVE;
   }
 
-  private static boolean bootTimedOut(Machine machine, long nowMicros) {
+  /**
+   * True if a machine should have sent a heartbeat long ago and has had the time to send one to
+   * this leader.
+   *
+   * <p>Guards against a new leader that finds machines which have been up for long in the cloud's
+   * list, and releases them before it can have received a heartbeat of them.
+   */
+  private boolean bootTimedOut(Machine machine, long nowMicros) {
     long timeout = BOOT_TIMEOUT_FACTOR * machine.type().bootMicros() + BOOT_TIMEOUT_MARGIN_MICROS;
-    return nowMicros - machine.knownSince() > timeout;
+    return nowMicros - machine.knownSince() > timeout
+        && sinceAuthorityMicros(nowMicros) > overdueAfterMicros();
   }
 }
--- a/src/test/java/org/dewreach/membership/MachineHealthMonitorTest.java
+++ b/src/test/java/org/dewreach/membership/MachineHealthMonitorTest.java
@@ -111,6 +111,18 @@
     assertPhase(MachinePhase.UP, reachable);
   }
 
+  /** Guards against a new leader that releases machines before it can have heard them. */
+  @Test
+  void aMachineThatWasListedLongAgoHasTheTimeToSendAHeartbeat() {
+    Machine listed =
+        cluster.add(ClusterFixture.newMachine("listed", TYPE, false, MachinePhase.BOOTING));
+    listed.knownSince(-300 * SECOND);
+    monitor.checkMachines(SECOND);
+    assertPhase(MachinePhase.BOOTING, List.of(listed));
+    monitor.checkMachines(10 * SECOND);
+    assertPhase(MachinePhase.TERMINATING, List.of(listed));
+  }
+
   @Test
   void tasksOfAMachineThatIsBeingReleasedAreUnboundAfterLeaseExpiry() {
     List<Machine> silent = upMachines("silent", 1);
