--- a/src/main/java/org/dewreach/scheduling/TaskPlacer.java
+++ b/src/main/java/org/dewreach/scheduling/TaskPlacer.java
@@ -161,7 +161,7 @@
     }
 
     private int tryToPlace(Job job, int withinQuota) {
-      boolean exempt = ServiceHeadroom.isExempt(job, wallMicros);
+      boolean exempt = ServiceHeadroom.isExempt(job, nowMicros, wallOffsetMicros);
       String equivalenceKey = equivalenceKey(job, exempt);
       if (unplaceable.contains(equivalenceKey)) {
         return 0;
@@ -176,9 +176,7 @@
         // Guards against a job that waits beside machines on which it failed.
         return newPlacement(job, exempt, true).place(limit);
       }
-      if (!placement.blockedByDirectStart()) {
-        unplaceable.add(equivalenceKey);
-      }
+      unplaceable.add(equivalenceKey);
       return 0;
     }
 
--- a/src/main/java/org/dewreach/state/ClusterState.java
+++ b/src/main/java/org/dewreach/state/ClusterState.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import org.dewreach.config.Settings;
 import org.dewreach.config.Tuning;
+import org.dewreach.model.ExitedRecord;
 import org.dewreach.model.Job;
 import org.dewreach.model.Machine;
 import org.dewreach.model.MachinePhase;
@@ -164,6 +165,17 @@
     return task;
   }
 
+  /**
+   * Binds a task to a machine to whose worker its start was sent directly before, in the same
+   * incarnation. The task runs as the same attempt again: the worker then knows the attempt at all
+   * times, except while it is bound here, so a late copy of the start has no effect elsewhere.
+   */
+  public Task bindAgain(Job job, int index, long attempt, Machine machine, long nowMicros) {
+    Task task = bind(job, index, attempt, machine, TaskPhase.ASSIGNED, nowMicros);
+    task.exitedRecord(ExitedRecord.KEPT);
+    return task;
+  }
+
   /** Unbinds a task that is proven gone from its machine. */
   public void unbind(Task task, String reason, long nowMicros) {
     LOG.debug(
@@ -203,6 +215,42 @@
     requestPlacement();
   }
 
+  /**
+   * Withdraws a job's failures from all machines, since the job is at fault or was cancelled: they
+   * are no evidence against the machines. Ends the quarantines that rested on them.
+   *
+   * <p>Guards against healthy machines that stay quarantined because jobs with an error of their
+   * own ran there.
+   */
+  public void withdrawFailures(Job job, String reason, long nowMicros) {
+    if (!job.backoff().hasEverFailed()) {
+      return;
+    }
+    for (Machine machine : machines.values()) {
+      if (machine.failures().withdraw(job.id(), nowMicros)) {
+        LOG.info(
+            "machine quarantine ended: machine={} failing_job={} reason=\"{}\"",
+            machine.name(),
+            job.id(),
+            reason);
+        resumePlacementOn(machine, nowMicros);
+      }
+    }
+  }
+
+  /**
+   * Makes a machine available for tasks again if it drains only because it was quarantined.
+   *
+   * <p>Guards against a machine whose quarantine ends after its drain has begun: it received no
+   * tasks, and was never released while a replica ran there.
+   */
+  public void resumePlacementOn(Machine machine, long nowMicros) {
+    if (machine.phase() == MachinePhase.DRAINING && machine.reclaimAt() < 0) {
+      changePhase(machine, MachinePhase.UP, "quarantine ended", nowMicros);
+    }
+    requestPlacement();
+  }
+
   /** Removes a machine that is proven gone, and unbinds its tasks. */
   public void removeMachine(Machine machine, String reason, long nowMicros) {
     unbindAll(machine, reason, nowMicros);
@@ -222,22 +270,30 @@
     }
   }
 
-  /** Marks a task to be stopped. A task whose start was never sent is unbound at once. */
+  /** Marks a task to be stopped. A task that the worker cannot have started is unbound at once. */
   public void stop(Task task, String reason, long nowMicros) {
     switch (task.phase()) {
-      case ASSIGNED -> unbind(task, reason, nowMicros);
-      case STARTING, PULLING, RUNNING -> {
-        LOG.debug(
-            "task stopping: task={} machine={} reason=\"{}\"",
-            task.name(),
-            task.machine().name(),
-            reason);
-        task.changePhase(TaskPhase.STOPPING, nowMicros);
-        machinesToCommand.add(task.machine());
+      case ASSIGNED -> {
+        if (task.mayStartUnasked()) {
+          markStopping(task, reason, nowMicros);
+        } else {
+          unbind(task, reason, nowMicros);
+        }
       }
+      case STARTING, PULLING, RUNNING -> markStopping(task, reason, nowMicros);
       case STOPPING, GONE -> {
         // already stopping or gone
       }
     }
   }
+
+  private void markStopping(Task task, String reason, long nowMicros) {
+    LOG.debug(
+        "task stopping: task={} machine={} reason=\"{}\"",
+        task.name(),
+        task.machine().name(),
+        reason);
+    task.changePhase(TaskPhase.STOPPING, nowMicros);
+    machinesToCommand.add(task.machine());
+  }
 }
