--- a/src/main/java/org/dewreach/controller/Controller.java
+++ b/src/main/java/org/dewreach/controller/Controller.java
@@ -32,8 +32,8 @@
   private final UserRequestRouter userRequests;
   private final HeartbeatRouter heartbeats;
   private final PeerRequestRouter peerRequests;
+  private final ReadinessMonitor readiness;
   private long nextSummaryAt;
-  private boolean ready;
 
   /**
    * Creates a controller.
@@ -56,8 +56,15 @@
         new LeaderDiscovery(outbox, settings, leadership.election(), leadership.delegateRenewer());
     this.userRequests = new UserRequestRouter(services, leadership, clock, bootId);
     this.heartbeats = new HeartbeatRouter(services, leadership, clock);
+    this.readiness = new ReadinessMonitor(outbox, settings, leadership);
     this.peerRequests =
-        new PeerRequestRouter(services, leadership, clock, userRequests, this::stats);
+        new PeerRequestRouter(
+            services,
+            leadership,
+            clock,
+            userRequests,
+            () -> readiness.readiness(clock.now()),
+            this::stats);
   }
 
   private long effectsValidUntil() {
@@ -97,11 +104,9 @@
   }
 
   private void onReadinessProbe(Event.Request request) {
-    // Stays ready after the first response of the key-value store: later faults of other components
-    // appear in single responses, and a flapping readiness would take this controller out of
-    // service for longer than the fault lasts.
-    ready |= leadership.election().lastStoreResponseAt() >= 0;
-    int status = ready ? HttpStatus.OK : HttpStatus.UNAVAILABLE;
+    // A response that was received just before the probe counts, without waiting for a tick.
+    readiness.tick(clock.now());
+    int status = readiness.ready() ? HttpStatus.OK : HttpStatus.UNAVAILABLE;
     outbox.respond(request.requestId(), status, null);
   }
 
@@ -114,6 +119,7 @@
       leadership.term().tick(nowMicros);
     }
     heartbeats.tick();
+    readiness.tick(nowMicros);
     leaderDiscovery.tick(leadership.term() != null, userRequests.isLeaderSuspected(), nowMicros);
     leadership.renewDelegations();
     if (nowMicros >= nextSummaryAt) {
--- a/src/main/java/org/dewreach/controller/PeerRequestRouter.java
+++ b/src/main/java/org/dewreach/controller/PeerRequestRouter.java
@@ -11,6 +11,7 @@
 import org.dewreach.peer.GrantResponse;
 import org.dewreach.peer.KnownLeader;
 import org.dewreach.peer.PeerMessageCodec;
+import org.dewreach.peer.PeerReadiness;
 import org.dewreach.port.Event;
 import org.dewreach.port.Outbox;
 import org.dewreach.wire.HttpStatus;
@@ -24,6 +25,7 @@
   private final EventClock clock;
   private final UserRequestRouter userRequests;
   private final LastHeartbeatTimes lastHeartbeats;
+  private final Supplier<PeerReadiness> readiness;
   private final Supplier<ControllerStats> stats;
 
   PeerRequestRouter(
@@ -31,12 +33,14 @@
       Leadership leadership,
       EventClock clock,
       UserRequestRouter userRequests,
+      Supplier<PeerReadiness> readiness,
       Supplier<ControllerStats> stats) {
     this.outbox = services.outbox();
     this.leadership = leadership;
     this.clock = clock;
     this.userRequests = userRequests;
     this.lastHeartbeats = services.lastHeartbeats();
+    this.readiness = readiness;
     this.stats = stats;
   }
 
@@ -45,6 +49,8 @@
     long requestId = request.requestId();
     switch (request.path()) {
       case PeerMessageCodec.LEADER_PATH -> onLeaderQuery(requestId);
+      case PeerMessageCodec.READINESS_PATH ->
+          outbox.respond(requestId, HttpStatus.OK, PeerMessageCodec.encode(readiness.get()));
       case STATS_PATH -> outbox.respond(requestId, HttpStatus.OK, StatsCodec.encode(stats.get()));
       default -> {
         if (request.body() == null) {
--- a/src/main/java/org/dewreach/peer/PeerMessageCodec.java
+++ b/src/main/java/org/dewreach/peer/PeerMessageCodec.java
@@ -19,6 +19,9 @@
   /** The path at which a controller reports its known leader. */
   public static final String LEADER_PATH = "/peer/leader";
 
+  /** The path at which a controller reports whether it can answer users. */
+  public static final String READINESS_PATH = "/peer/readiness";
+
   /** The path at which a controller accepts requests for grants. */
   public static final String GRANT_PATH = "/peer/promise";
 
@@ -107,6 +110,26 @@
         new KnownLeader(body.path("leader").textValue(), body.path("term").asLong(0)));
   }
 
+  /** Encodes a controller's ability to answer users. */
+  public static ObjectNode encode(PeerReadiness readiness) {
+    return Codec.map().put("leads", readiness.leads()).put("serves", readiness.serves());
+  }
+
+  /**
+   * Decodes a controller's ability to answer users; empty if it did not report it, as controllers
+   * of earlier versions do not.
+   *
+   * @param httpStatus the status of the call, or 0 if no response came
+   * @param body the body of the call's response, or null
+   */
+  public static Optional<PeerReadiness> decodePeerReadiness(int httpStatus, JsonNode body) {
+    if (httpStatus != HttpStatus.OK || body == null || !body.path("serves").isBoolean()) {
+      return Optional.empty();
+    }
+    return Optional.of(
+        new PeerReadiness(body.path("leads").asBoolean(false), body.path("serves").booleanValue()));
+  }
+
   /** Encodes a request for a grant. */
   public static ObjectNode encode(GrantRequest request) {
     return Codec.map().put("term", request.term());
--- a/src/test/java/org/dewreach/compatibility/PeerApiCompatibilityTest.java
+++ b/src/test/java/org/dewreach/compatibility/PeerApiCompatibilityTest.java
@@ -52,6 +52,7 @@
   void responsesOfLeader() {
     ScriptedEnvironment environment = ScriptedEnvironment.leading();
     check("leader query, leading", environment.requestAsPeer("GET", "/peer/leader", null));
+    check("readiness, leading", environment.requestAsPeer("GET", "/peer/readiness", null));
     check("grant by a leader", requestWith(environment, "/peer/promise", "grant request"));
     check(
         "delegation by a leader", requestWith(environment, "/peer/stand-in", "delegation request"));
@@ -78,6 +79,7 @@
     ScriptedEnvironment environment = ScriptedEnvironment.following();
     environment.run(2 * SECOND);
     check("leader query, following", environment.requestAsPeer("GET", "/peer/leader", null));
+    check("readiness, following", environment.requestAsPeer("GET", "/peer/readiness", null));
     check("grant", requestWith(environment, "/peer/promise", "grant request"));
     check(
         "grant to an earlier term",
@@ -134,6 +136,7 @@
     setPeerReply(environment, "/peer/leader", "leader answer");
     environment.run(3 * SECOND);
     check("leader query", environment.lastCall("GET /peer/leader"));
+    check("readiness asked", environment.lastCall("GET /peer/readiness"));
     assertEquals(
         "n1", environment.request("POST", "/hello", heartbeat()).body().get("steward").textValue());
   }
--- a/src/test/java/org/dewreach/peer/PeerMessageCodecTest.java
+++ b/src/test/java/org/dewreach/peer/PeerMessageCodecTest.java
@@ -91,6 +91,22 @@
     assertEquals(Optional.empty(), PeerMessageCodec.decodeKnownLeader(0, null));
   }
 
+  @Test
+  void aReadinessRoundTrips() {
+    PeerReadiness readiness = new PeerReadiness(false, true);
+    ObjectNode message = PeerMessageCodec.encode(readiness);
+    assertEquals("{\"leads\":false,\"serves\":true}", message.toString());
+    assertEquals(Optional.of(readiness), PeerMessageCodec.decodePeerReadiness(200, message));
+  }
+
+  /** Guards against conclusions from the 404 of a controller of an earlier version. */
+  @Test
+  void anUnknownReadinessDecodesAsEmpty() {
+    assertEquals(Optional.empty(), PeerMessageCodec.decodePeerReadiness(404, null));
+    assertEquals(Optional.empty(), PeerMessageCodec.decodePeerReadiness(0, null));
+    assertEquals(Optional.empty(), PeerMessageCodec.decodePeerReadiness(200, Codec.map()));
+  }
+
   @Test
   void aReplyWithoutTheBodyFieldHasNoBody() {
     ForwardedReply reply =
--- a/src/test/java/org/dewreach/sim/SimControllers.java
+++ b/src/test/java/org/dewreach/sim/SimControllers.java
@@ -57,9 +57,17 @@
   /** Ends the controller's process and starts a new one after the given time. */
   void crash(String name, long backAfterMicros) {
     processes.get(name).end();
+    if (simulation.loadBalancer != null) {
+      simulation.loadBalancer.onProcessEnded(name);
+    }
     clock.in(backAfterMicros, () -> start(name));
   }
 
+  /** True if the controller's process is up. */
+  boolean isUp(String name) {
+    return processes.get(name).core != null;
+  }
+
   /** Slows the controller down: each event that it handles is delayed. */
   void slow(String name, long untilMicros, long byMicros) {
     processes.get(name).slow(untilMicros, byMicros);
--- a/src/test/java/org/dewreach/sim/Simulation.java
+++ b/src/test/java/org/dewreach/sim/Simulation.java
@@ -32,6 +32,9 @@
   final SimControllers controllers;
   final WorkerDefects workerDefects = new WorkerDefects();
 
+  /** Assigns users' connections; null if users send each request to a random controller. */
+  SimLoadBalancer loadBalancer;
+
   /** The number of expired worker leases. */
   int expiredWorkerLeases;
 
@@ -72,6 +75,11 @@
     CONTROLLERS.forEach(controllers::start);
   }
 
+  /** From now on users keep connections, which a load balancer assigns to healthy controllers. */
+  void keepUserConnections() {
+    loadBalancer = new SimLoadBalancer(this);
+  }
+
   /** Returns the zone of a controller: two controllers are in zone a, the third in zone b. */
   static String zoneOf(String controller) {
     return controller.equals("n2") ? "b" : "a";
